--- /dev/null
+++ b/cmd/fireflypier/main.go
@@ -0,0 +1,83 @@
+// Command fireflypier serves many models on fewer accelerators. Its
+// subcommands run a gateway or a controller, and drive them as an operator.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/document"
+	"fireflypier.example/fireflypier/internal/failure"
+)
+
+// Exit codes.
+const (
+	exitDone        = 0
+	exitRefused     = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+)
+
+// command is one subcommand.
+type command struct {
+	name, short, long string
+	data              flags.Commander
+}
+
+func commands() []command {
+	return []command{
+		{"gateway", "Run a gateway", "Run a gateway, which serves callers, until SIGTERM; it then finishes its requests and stops.", &gatewayCommand{}},
+		{"controller", "Run a controller", "Run a controller, which serves operators and places models, until SIGTERM.", &controllerCommand{}},
+		{"check", "Check object files", "Check the whole set of objects in the given files, without reaching a controller.", &checkCommand{}},
+		{"apply", "Apply an edit", "Publish the objects of the given files as one edit.", &applyCommand{}},
+		{"get", "Show objects", "Show the objects in force.", &getCommand{}},
+		{"status", "Show the status", "Show the status of the pools and members that a controller knows.", &statusCommand{}},
+		{"dump", "Show a process's state", "Show the state of the process whose admin address is given.", &dumpCommand{}},
+		{"settings", "Check settings", "Check a settings file of a gateway or a controller.", &settingsCommand{}},
+		{"version", "Show the version", "Show the version of the program.", &versionCommand{}},
+	}
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	parser := flags.NewNamedParser("fireflypier", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Exit codes: 0 done, 1 refused, 2 usage, 3 cannot reach."
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitUsage
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		return exitDone
+	}
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return exitDone
+	}
+	fmt.Fprintln(os.Stderr, "fireflypier:", err)
+	return exitCode(err)
+}
+
+// exitCode tells a refusal from wrong usage and from an unreachable system.
+func exitCode(err error) int {
+	var usage *flags.Error
+	var mistake *document.Error
+	var refused *failure.Error
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &mistake):
+		return exitRefused
+	case !errors.As(err, &refused):
+		return exitUnreachable
+	case refused.Kind == failure.StoreUnavailable, refused.Kind == failure.OutcomeUnknown:
+		return exitUnreachable
+	}
+	return exitRefused
+}
--- /dev/null
+++ b/cmd/fireflypier/operate.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+
+	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/document"
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/operatorclient"
+	"fireflypier.example/fireflypier/internal/revision"
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+// controllerOptions tell how to reach the controllers.
+type controllerOptions struct {
+	Controllers []string `long:"controller" env:"FIREFLYPIER_CONTROLLERS" env-delim:"," description:"operator address of a controller; may be repeated" required:"true"`
+	Token       string   `long:"token" env:"FIREFLYPIER_TOKEN" description:"operator token" required:"true"`
+	Output      string   `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+}
+
+type checkCommand struct {
+	Args fileArgs `positional-args:"true" required:"true"`
+}
+
+type fileArgs struct {
+	Files []flags.Filename `positional-arg-name:"FILE" required:"1"`
+}
+
+type applyCommand struct {
+	controllerOptions
+	EditID  string   `long:"edit-id" description:"id that makes a repeated apply safe; random by default"`
+	BasedOn int64    `long:"based-on" default:"-1" description:"revision that the edit was made from; the present one by default"`
+	Delete  []string `long:"delete" description:"kind/name of an object to delete; may be repeated"`
+	Args    struct {
+		Files []flags.Filename `positional-arg-name:"FILE"`
+	} `positional-args:"true"`
+}
+
+type getCommand struct{ controllerOptions }
+
+type statusCommand struct{ controllerOptions }
+
+type dumpCommand struct {
+	Args struct {
+		Admin string `positional-arg-name:"ADDRESS"`
+	} `positional-args:"true" required:"true"`
+}
+
+type versionCommand struct{}
+
+func (o *controllerOptions) client() (*operatorclient.Client, error) {
+	addrs := make([]netip.AddrPort, 0, len(o.Controllers))
+	for _, text := range o.Controllers {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, &flags.Error{Type: flags.ErrMarshal, Message: fmt.Sprintf("controller %q is not an address and port", text)}
+		}
+		addrs = append(addrs, addr)
+	}
+	return operatorclient.New(addrs, o.Token), nil
+}
+
+// readEdit merges the objects of several files into one edit.
+func readEdit(files []flags.Filename) (*revision.Edit, error) {
+	merged := revision.Empty().Objects
+	for _, file := range files {
+		data, err := os.ReadFile(string(file))
+		if err != nil {
+			return nil, failure.Wrap(failure.NotFound, err, "read objects")
+		}
+		part := revision.Empty().Objects
+		if err := document.Decode(string(file), data, &part); err != nil {
+			return nil, err
+		}
+		merged.Merge(&part)
+	}
+	return &revision.Edit{Put: merged}, nil
+}
+
+// Execute checks files without reaching a controller.
+func (c *checkCommand) Execute([]string) error {
+	edit, err := readEdit(c.Args.Files)
+	if err != nil {
+		return err
+	}
+	problems := edit.Put.Check()
+	for _, p := range problems {
+		fmt.Println(p)
+	}
+	if len(problems) > 0 {
+		return failure.New(failure.InvalidObjects, "%d problems", len(problems))
+	}
+	fmt.Printf("%d objects are consistent\n", len(edit.Put.Refs()))
+	return nil
+}
+
+// Execute publishes an edit.
+func (c *applyCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	edit, err := readEdit(c.Args.Files)
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	edit.ID = c.EditID
+	if edit.ID == "" {
+		edit.ID = uuid.NewString()
+	}
+	edit.Delete = c.Delete
+	edit.BasedOn = c.BasedOn
+	if edit.BasedOn < 0 {
+		s, err := client.Snapshot(ctx)
+		if err != nil {
+			return err
+		}
+		edit.BasedOn = s.Revision
+	}
+	applied, err := client.Apply(ctx, edit)
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(applied)
+	}
+	fmt.Printf("revision %d is committed\n", applied.Revision)
+	return nil
+}
+
+// Execute shows the objects in force.
+func (c *getCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := client.Snapshot(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(s)
+	}
+	fmt.Printf("// revision %d\n", s.Revision)
+	return printJSON(s.Objects)
+}
+
+// Execute shows the status.
+func (c *statusCommand) Execute([]string) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	status, err := client.Status(context.Background())
+	if err != nil {
+		return err
+	}
+	return printJSON(status)
+}
+
+// Execute shows the state of a process.
+func (c *dumpCommand) Execute([]string) error {
+	answer, err := http.Get("http://" + c.Args.Admin + "/dump")
+	if err != nil {
+		return errors.Wrap(err, "reach the process")
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, err = io.Copy(os.Stdout, answer.Body)
+	return errors.Wrap(err, "read the dump")
+}
+
+// Execute shows the version.
+func (c *versionCommand) Execute([]string) error {
+	fmt.Println("fireflypier", version)
+	return nil
+}
+
+func printJSON(v any) error {
+	data, err := document.Encode(v)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(data))
+	return nil
+}
--- /dev/null
+++ b/internal/adminapi/adminapi.go
@@ -0,0 +1,62 @@
+// Package adminapi serves metrics, health and the state dump of a process on
+// a listener apart from the callers' one.
+package adminapi
+
+import (
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"fireflypier.example/fireflypier/internal/document"
+)
+
+// API is the admin interface of a process.
+type API struct {
+	registry *prometheus.Registry
+	ready    func() error
+	dump     func() any
+}
+
+// New returns the admin interface. ready returns nil when the process can
+// serve; dump returns its state, which must hold no key.
+func New(registry *prometheus.Registry, ready func() error, dump func() any) *API {
+	return &API{registry: registry, ready: ready, dump: dump}
+}
+
+// Handler returns the routes of the interface.
+func (a *API) Handler() http.Handler {
+	router := httprouter.New()
+	router.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(a.registry, promhttp.HandlerOpts{}))
+	router.HandlerFunc(http.MethodGet, "/healthz", a.serveHealth)
+	router.HandlerFunc(http.MethodGet, "/readyz", a.serveReady)
+	router.HandlerFunc(http.MethodGet, "/dump", a.serveDump)
+	router.HandlerFunc(http.MethodGet, "/debug/pprof/profile", pprof.Profile)
+	router.Handler(http.MethodGet, "/debug/pprof/heap", pprof.Handler("heap"))
+	router.Handler(http.MethodGet, "/debug/pprof/goroutine", pprof.Handler("goroutine"))
+	return router
+}
+
+func (a *API) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (a *API) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := a.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (a *API) serveDump(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.MarshalWrite(w, a.dump(),
+		json.Deterministic(true),
+		jsontext.WithIndent("  "),
+		document.Durations())
+}
--- /dev/null
+++ b/internal/callerapi/body.go
@@ -0,0 +1,107 @@
+package callerapi
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/failure"
+)
+
+// generationBody holds the fields of both generation calls that the gateway
+// reads; the others go to the engine as sampling parameters.
+type generationBody struct {
+	Model               string         `json:"model"`
+	Messages            jsontext.Value `json:"messages,omitzero"`
+	Prompt              jsontext.Value `json:"prompt,omitzero"`
+	MaxTokens           *int           `json:"max_tokens,omitzero"`
+	MaxCompletionTokens *int           `json:"max_completion_tokens,omitzero"`
+	Stream              bool           `json:"stream,omitzero"`
+	StreamOptions       streamOptions  `json:"stream_options,omitzero"`
+	N                   *int           `json:"n,omitzero"`
+	Sampling            jsontext.Value `json:",unknown"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool           `json:"include_usage,omitzero"`
+	Rest         jsontext.Value `json:",unknown"`
+}
+
+func (api *API) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	deadline := api.clock.Now().Add(api.limits.BodyTimeout)
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return data, nil
+	}
+	return nil, bodyError(err)
+}
+
+func bodyError(err error) error {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", large.Limit)
+	}
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return failure.New(failure.RequestTimeout, "the body arrived too slowly")
+	}
+	return failure.Wrap(failure.BadRequest, err, "the body could not be read")
+}
+
+func (api *API) decodeGeneration(data []byte, chat bool) (*generationBody, error) {
+	var body generationBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, failure.New(failure.BadRequest, "the body is not valid: %s", jsonMessage(err))
+	}
+	if body.N != nil && *body.N != 1 {
+		return nil, failure.New(failure.BadRequest, "n must be 1")
+	}
+	if body.Model == "" {
+		return nil, failure.New(failure.BadRequest, "model is missing")
+	}
+	return &body, body.checkPrompt(chat)
+}
+
+func (b *generationBody) checkPrompt(chat bool) error {
+	if chat {
+		if b.Messages.Kind() != '[' {
+			return failure.New(failure.BadRequest, "messages must be a list")
+		}
+		return nil
+	}
+	if k := b.Prompt.Kind(); k != '"' && k != '[' {
+		return failure.New(failure.BadRequest, "prompt must be a string or a list")
+	}
+	return nil
+}
+
+func (b *generationBody) maxTokens(byDefault int) (int, error) {
+	n := byDefault
+	switch {
+	case b.MaxCompletionTokens != nil:
+		n = *b.MaxCompletionTokens
+	case b.MaxTokens != nil:
+		n = *b.MaxTokens
+	}
+	if n < 1 {
+		return 0, failure.New(failure.BadRequest, "max_tokens must be at least 1")
+	}
+	return n, nil
+}
+
+// jsonMessage describes a decoding error without echoing the body.
+func jsonMessage(err error) string {
+	var semantic *json.SemanticError
+	if errors.As(err, &semantic) {
+		return "field " + string(semantic.JSONPointer) + " has the wrong type"
+	}
+	var syntactic *jsontext.SyntacticError
+	if errors.As(err, &syntactic) {
+		return syntactic.Err.Error()
+	}
+	return "malformed JSON"
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,210 @@
+// Package controller is the process behind the gateways: it serves operators,
+// collects engine state, plans, and publishes views to gateways.
+package controller
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/adminapi"
+	"fireflypier.example/fireflypier/internal/adoption"
+	"fireflypier.example/fireflypier/internal/collector"
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/feed"
+	"fireflypier.example/fireflypier/internal/feed/feedpb"
+	"fireflypier.example/fireflypier/internal/follower"
+	"fireflypier.example/fireflypier/internal/listener"
+	"fireflypier.example/fireflypier/internal/member"
+	"fireflypier.example/fireflypier/internal/membership"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/operatorapi"
+	"fireflypier.example/fireflypier/internal/peer"
+	"fireflypier.example/fireflypier/internal/planner"
+	"fireflypier.example/fireflypier/internal/platform"
+	"fireflypier.example/fireflypier/internal/publication"
+	"fireflypier.example/fireflypier/internal/rendezvous"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/settings"
+)
+
+// Controller is one controller process.
+type Controller struct {
+	cfg    *settings.Controller
+	clock  clockwork.Clock
+	logger hclog.Logger
+
+	platform    *platform.Client
+	publication *publication.Publication
+	adoption    *adoption.Adoption
+	follower    *follower.Follower
+	membership  *membership.Membership
+	publisher   *feed.Publisher
+	collector   *collector.Collector
+	planner     *planner.Planner
+	peers       *peer.Server
+	operators   *listener.Listener
+	admin       *listener.Listener
+	done        chan struct{}
+}
+
+// Option changes a Controller under construction.
+type Option func(*Controller)
+
+// WithClock replaces the real clock.
+func WithClock(c clockwork.Clock) Option { return func(ctl *Controller) { ctl.clock = c } }
+
+// WithLogger replaces the silent logger.
+func WithLogger(l hclog.Logger) Option { return func(ctl *Controller) { ctl.logger = l } }
+
+// New returns a controller that listens but does not serve yet; call Run.
+func New(cfg *settings.Controller, opts ...Option) (*Controller, error) {
+	c := &Controller{
+		cfg:       cfg,
+		clock:     clockwork.NewRealClock(),
+		logger:    hclog.NewNullLogger(),
+		publisher: feed.NewPublisher(),
+		done:      make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.platform = platform.New(cfg.Platform)
+	c.publication = publication.New(c.platform, c.platform.Objects(), c.clock)
+	c.adoption = adoption.New(c.clock, 0)
+	c.follower = follower.New(c.publication, c.adoption, c.clock, c.logger)
+	c.membership = membership.New(c.self(), c.platform, c.clock, c.logger)
+	engines := engine.NewClient()
+	c.collector = collector.New(engines, c.publisher, c.engines, cfg.CollectInterval, c.clock, c.logger)
+	c.planner = planner.New(planner.Parts{
+		Table: c.platform, Engines: engines, Reports: c.collector.Reports,
+		Objects: c.objects, Owns: c.owns, Interval: cfg.PlanInterval,
+		Clock: c.clock, Logger: c.logger,
+	})
+	if err := c.listen(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Controller) listen() error {
+	var err error
+	c.peers, err = peer.Listen(c.cfg.PeerListen, c.logger)
+	if err != nil {
+		return err
+	}
+	if err := feedpb.DRPCRegisterFeed(c.peers.Mux(), c.publisher); err != nil {
+		return err
+	}
+	operators := operatorapi.New(operatorapi.Parts{
+		Publisher: c.publication, Current: c.current, Status: c.status,
+		Tokens: c.cfg.OperatorTokens, Logger: c.logger,
+	})
+	c.operators, err = listener.Listen(c.cfg.OperatorListen, operators.Handler())
+	if err != nil {
+		return err
+	}
+	c.admin, err = listener.Listen(c.cfg.AdminListen, adminapi.New(prometheus.NewRegistry(), c.ready, c.status).Handler())
+	return err
+}
+
+func (c *Controller) self() member.Member {
+	return member.Member{
+		Name:        c.cfg.Name,
+		Incarnation: uuid.NewString(),
+		Role:        member.Controller,
+		Region:      c.cfg.Region,
+		DataCentre:  c.cfg.DataCentre,
+		Address:     c.cfg.OperatorListen,
+		PeerAddress: c.cfg.PeerAddress,
+		State:       member.Live,
+	}
+}
+
+func (c *Controller) ready() error { return nil }
+
+// current returns the snapshot that the head names.
+func (c *Controller) current(ctx context.Context) (*revision.Snapshot, error) {
+	head, err := c.publication.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return c.publication.Snapshot(ctx, head)
+}
+
+func (c *Controller) objects() *object.Set {
+	return &c.adoption.Current().Snapshot().Objects
+}
+
+// owns reports whether this controller is the first choice for a pool among
+// the live controllers.
+func (c *Controller) owns(pool string) bool {
+	var names []string
+	for _, m := range c.membership.Live(member.Controller) {
+		names = append(names, m.Name)
+	}
+	return rendezvous.First(pool, names) == c.cfg.Name
+}
+
+// engines returns the engines whose reports this controller collects.
+func (c *Controller) engines() map[string]object.Target {
+	objects := c.objects()
+	engines := map[string]object.Target{}
+	for name, t := range objects.Targets {
+		if objects.Pools[t.Pool].Kind == object.PoolEngines && c.owns(t.Pool) {
+			engines[name] = t
+		}
+	}
+	return engines
+}
+
+func (c *Controller) status() any {
+	return struct {
+		Self     member.Member                  `json:"self"`
+		Revision int64                          `json:"revision"`
+		Members  []member.Member                `json:"members"`
+		Engines  map[string]collector.Collected `json:"engines"`
+	}{c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(), c.collector.Reports()}
+}
+
+// Addr returns the address on which operators are served.
+func (c *Controller) Addr() netip.AddrPort { return c.operators.Addr() }
+
+// Done is closed when Run has returned.
+func (c *Controller) Done() <-chan struct{} { return c.done }
+
+// Run serves until ctx ends, then leaves. It may be called once.
+func (c *Controller) Run(ctx context.Context) error {
+	defer close(c.done)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { c.follower.Run(background) })
+	wg.Go(func() { c.membership.Run(background) })
+	wg.Go(func() { c.collector.Run(background) })
+	wg.Go(func() { c.planner.Run(background) })
+	wg.Go(func() { c.logError("peers", c.peers.Run(background)) })
+	wg.Go(func() { c.logError("admin", c.admin.Run()) })
+	wg.Go(func() { c.logError("operators", c.operators.Run()) })
+	c.logger.Info("controller serves", "address", c.operators.Addr(), "admin", c.admin.Addr())
+	<-ctx.Done()
+	if err := c.membership.Leave(background); err != nil {
+		c.logger.Warn("leaving not recorded", "error", err)
+	}
+	c.logError("operators", c.operators.Shutdown(background))
+	c.logError("admin", c.admin.Shutdown(background))
+	c.logger.Info("controller has stopped")
+	return nil
+}
+
+func (c *Controller) logError(part string, err error) {
+	if err != nil {
+		c.logger.Error("part ended", "part", part, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,118 @@
+// Package document decodes JSON with comments into typed values and reports
+// every mistake with its file, line and column.
+package document
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Error is a mistake in a document. Line and Column count from one; they are
+// zero when the place is unknown.
+type Error struct {
+	// File is the name given to Decode.
+	File string
+	// Line and Column are the place of the mistake.
+	Line, Column int
+	// Path is the JSON pointer of the value, or empty.
+	Path string
+	// Message says what is wrong.
+	Message string
+}
+
+// Error returns "file:line:column: message (at path)".
+func (e *Error) Error() string {
+	where := e.File
+	if e.Line > 0 {
+		where = fmt.Sprintf("%s:%d:%d", e.File, e.Line, e.Column)
+	}
+	if e.Path == "" {
+		return where + ": " + e.Message
+	}
+	return fmt.Sprintf("%s: %s (at %s)", where, e.Message, e.Path)
+}
+
+func unmarshalDuration(dec *jsontext.Decoder, d *time.Duration) error {
+	var text string
+	if err := json.UnmarshalDecode(dec, &text); err != nil {
+		return errors.New("a duration is a string such as \"1.5s\"")
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.New("a duration is a string such as \"1.5s\"")
+	}
+	*d = parsed
+	return nil
+}
+
+func marshalDuration(enc *jsontext.Encoder, d time.Duration) error {
+	return enc.WriteToken(jsontext.String(d.String()))
+}
+
+// Decode reads data, JSON with comments and trailing commas, into v. Unknown
+// and duplicate names are mistakes. The error, if any, is an *Error whose
+// File is name. Durations are strings such as "1.5s".
+func Decode(name string, data []byte, v any) error {
+	plain, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return &Error{File: name, Message: err.Error()}
+	}
+	err = json.Unmarshal(plain, v,
+		json.RejectUnknownMembers(true),
+		json.WithUnmarshalers(json.UnmarshalFromFunc(unmarshalDuration)))
+	if err == nil {
+		return nil
+	}
+	return locate(name, data, err)
+}
+
+// Encode writes v as indented JSON in the form that Decode reads.
+func Encode(v any) ([]byte, error) {
+	data, err := json.Marshal(v,
+		json.Deterministic(true),
+		jsontext.WithIndent("  "),
+		Durations())
+	return data, errors.Wrap(err, "encode document")
+}
+
+// Durations returns the option under which durations are written as strings
+// such as "1.5s".
+func Durations() json.Options {
+	return json.WithMarshalers(json.MarshalToFunc(marshalDuration))
+}
+
+func locate(name string, data []byte, err error) error {
+	e := &Error{File: name, Message: err.Error()}
+	var offset int64
+	var semantic *json.SemanticError
+	var syntactic *jsontext.SyntacticError
+	switch {
+	case errors.As(err, &semantic):
+		offset = semantic.ByteOffset
+		e.Path = string(semantic.JSONPointer)
+		if semantic.Err != nil {
+			e.Message = semantic.Err.Error()
+		}
+	case errors.As(err, &syntactic):
+		offset = syntactic.ByteOffset
+		e.Path = string(syntactic.JSONPointer)
+		e.Message = syntactic.Err.Error()
+	default:
+		return e
+	}
+	e.Line, e.Column = position(data, offset)
+	return e
+}
+
+func position(data []byte, offset int64) (line, column int) {
+	head := data[:min(int(offset), len(data))]
+	line = 1 + bytes.Count(head, []byte("\n"))
+	column = len(head) - bytes.LastIndexByte(head, '\n')
+	return line, column
+}
--- /dev/null
+++ b/internal/faultproxy/faultproxy.go
@@ -0,0 +1,194 @@
+// Package faultproxy is a small TCP proxy that brings about network faults
+// between real processes, for tests and experiments. No program of the
+// system imports it.
+package faultproxy
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const copyBufferBytes = 16 << 10
+
+// Fault is what a Proxy does wrong.
+type Fault struct {
+	// Refuse closes every new connection at once.
+	Refuse bool
+	// Freeze holds every byte back, both ways, until the fault is lifted.
+	Freeze bool
+	// Delay holds each piece of data back.
+	Delay time.Duration
+	// DropAnswers carries requests on but drops what the server sends.
+	DropAnswers bool
+	// CutAnswersAfter cuts a connection after that many bytes from the
+	// server; zero cuts none.
+	CutAnswersAfter int64
+}
+
+// Proxy carries connections to one server. Its methods may be called at the
+// same time.
+type Proxy struct {
+	listener net.Listener
+	server   netip.AddrPort
+	done     chan struct{}
+
+	mu      sync.Mutex
+	fault   Fault
+	changed chan struct{}
+	conns   map[net.Conn]bool
+}
+
+// Start returns a running proxy for server on a free loopback port.
+func Start(server netip.AddrPort) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for fault proxy")
+	}
+	p := &Proxy{
+		listener: listener,
+		server:   server,
+		done:     make(chan struct{}),
+		changed:  make(chan struct{}),
+		conns:    map[net.Conn]bool{},
+	}
+	go p.accept()
+	return p, nil
+}
+
+// Addr returns the address that stands for the server.
+func (p *Proxy) Addr() netip.AddrPort {
+	addr, ok := p.listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return addr.AddrPort()
+}
+
+// SetFault replaces the proxy's faults.
+func (p *Proxy) SetFault(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// CutAll closes every present connection.
+func (p *Proxy) CutAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// Close stops the proxy and its connections.
+func (p *Proxy) Close() {
+	p.SetFault(Fault{})
+	_ = p.listener.Close()
+	<-p.done
+	p.CutAll()
+}
+
+// Done is closed when the proxy accepts no more connections.
+func (p *Proxy) Done() <-chan struct{} { return p.done }
+
+func (p *Proxy) accept() {
+	defer close(p.done)
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.carry(conn)
+	}
+}
+
+func (p *Proxy) carry(client net.Conn) {
+	defer func() { _ = client.Close() }()
+	if fault, _ := p.current(); fault.Refuse {
+		return
+	}
+	server, err := net.Dial("tcp", p.server.String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = server.Close() }()
+	p.remember(client, server)
+	defer p.forget(client, server)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.copy(client, server, true)
+		_ = client.Close()
+	}()
+	p.copy(server, client, false)
+	if c, ok := server.(*net.TCPConn); ok {
+		_ = c.CloseWrite()
+	}
+	<-ended
+}
+
+func (p *Proxy) remember(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+}
+
+func (p *Proxy) forget(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+	}
+}
+
+func (p *Proxy) current() (Fault, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault, p.changed
+}
+
+// copy carries data one way; answers tells the server's way.
+func (p *Proxy) copy(to io.Writer, from io.Reader, answers bool) {
+	buffer := make([]byte, copyBufferBytes)
+	var carried int64
+	for {
+		n, err := from.Read(buffer)
+		data := buffer[:n]
+		fault := p.wait()
+		if answers && fault.CutAnswersAfter > 0 && carried+int64(n) > fault.CutAnswersAfter {
+			_, _ = to.Write(data[:max(0, fault.CutAnswersAfter-carried)])
+			return
+		}
+		if answers && fault.DropAnswers {
+			data = nil
+		}
+		carried += int64(len(data))
+		if _, werr := to.Write(data); werr != nil || err != nil {
+			return
+		}
+	}
+}
+
+// wait holds data back while the proxy is frozen, and for its delay.
+func (p *Proxy) wait() Fault {
+	for {
+		fault, changed := p.current()
+		if fault.Freeze {
+			<-changed
+			continue
+		}
+		if fault.Delay > 0 {
+			time.Sleep(fault.Delay)
+		}
+		return fault
+	}
+}
--- /dev/null
+++ b/internal/feed/publisher.go
@@ -0,0 +1,112 @@
+// Package feed carries engine views from controllers to gateways.
+package feed
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/feed/feedpb"
+)
+
+// Publisher serves the views that a controller has collected. It implements
+// feedpb.DRPCFeedServer.
+type Publisher struct {
+	feedpb.DRPCFeedUnimplementedServer
+
+	mu       sync.Mutex
+	views    map[string]*versioned
+	version  int64
+	changed  chan struct{}
+	watchers int
+}
+
+type versioned struct {
+	version int64
+	view    *feedpb.View
+}
+
+// NewPublisher returns a publisher without views.
+func NewPublisher() *Publisher {
+	return &Publisher{views: map[string]*versioned{}, changed: make(chan struct{})}
+}
+
+// Publish replaces the view of an engine and tells every watcher.
+func (p *Publisher) Publish(view *feedpb.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	p.views[view.GetTarget()] = &versioned{version: p.version, view: view}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Remove forgets the view of an engine.
+func (p *Publisher) Remove(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.views, target)
+}
+
+// Watchers returns the number of streams.
+func (p *Publisher) Watchers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.watchers
+}
+
+// Watch implements feedpb.DRPCFeedServer.
+func (p *Publisher) Watch(req *feedpb.WatchRequest, stream feedpb.DRPCFeed_WatchStream) error {
+	p.watch(1)
+	defer p.watch(-1)
+	wanted := make(map[string]bool, len(req.GetModels()))
+	for _, model := range req.GetModels() {
+		wanted[model] = true
+	}
+	var seen int64
+	for {
+		batch, version, changed := p.after(seen, wanted)
+		if len(batch.GetViews()) > 0 {
+			if err := stream.Send(batch); err != nil {
+				return errors.Wrap(err, "send views")
+			}
+		}
+		seen = version
+		select {
+		case <-changed:
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+func (p *Publisher) watch(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watchers += n
+}
+
+// after returns the wanted views newer than a version.
+func (p *Publisher) after(seen int64, wanted map[string]bool) (*feedpb.Views, int64, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	batch := &feedpb.Views{}
+	for _, v := range p.views {
+		if v.version > seen && isWanted(v.view, wanted) {
+			batch.Views = append(batch.Views, v.view)
+		}
+	}
+	return batch, p.version, p.changed
+}
+
+func isWanted(view *feedpb.View, wanted map[string]bool) bool {
+	if len(wanted) == 0 || !view.GetReachable() {
+		return true
+	}
+	for _, w := range view.GetLoaded() {
+		if wanted[w.GetName()] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/feed/subscriber.go
@@ -0,0 +1,117 @@
+package feed
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/feed/feedpb"
+	"fireflypier.example/fireflypier/internal/peer"
+)
+
+const (
+	refreshInterval = time.Second
+	retryInterval   = 500 * time.Millisecond
+)
+
+// Subscriber keeps one stream to each controller that a gateway knows.
+type Subscriber struct {
+	name        string
+	dialer      *peer.Dialer
+	clock       clockwork.Clock
+	logger      hclog.Logger
+	controllers func() []netip.AddrPort
+	deliver     func(*feedpb.Views)
+	done        chan struct{}
+}
+
+// NewSubscriber returns a subscriber of the gateway called name. It asks
+// controllers for the addresses about once a second, and calls deliver with
+// each batch, from several goroutines.
+func NewSubscriber(name string, dialer *peer.Dialer, controllers func() []netip.AddrPort, deliver func(*feedpb.Views), clock clockwork.Clock, logger hclog.Logger) *Subscriber {
+	return &Subscriber{
+		name: name, dialer: dialer, clock: clock, logger: logger,
+		controllers: controllers, deliver: deliver, done: make(chan struct{}),
+	}
+}
+
+// Run keeps the streams until ctx ends. It may be called once.
+func (s *Subscriber) Run(ctx context.Context) {
+	defer close(s.done)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	streams := map[netip.AddrPort]context.CancelFunc{}
+	ticker := s.clock.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		s.refresh(ctx, &wg, streams)
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			stopAll(streams)
+			return
+		}
+	}
+}
+
+// Done is closed when Run has returned.
+func (s *Subscriber) Done() <-chan struct{} { return s.done }
+
+func stopAll(streams map[netip.AddrPort]context.CancelFunc) {
+	for _, stop := range streams {
+		stop()
+	}
+}
+
+func (s *Subscriber) refresh(ctx context.Context, wg *conc.WaitGroup, streams map[netip.AddrPort]context.CancelFunc) {
+	wanted := map[netip.AddrPort]bool{}
+	for _, addr := range s.controllers() {
+		wanted[addr] = true
+		if _, ok := streams[addr]; ok {
+			continue
+		}
+		streamCtx, stop := context.WithCancel(ctx)
+		streams[addr] = stop
+		wg.Go(func() { s.follow(streamCtx, addr) })
+	}
+	for addr, stop := range streams {
+		if !wanted[addr] {
+			stop()
+			delete(streams, addr)
+		}
+	}
+}
+
+func (s *Subscriber) follow(ctx context.Context, addr netip.AddrPort) {
+	for ctx.Err() == nil {
+		if err := s.stream(ctx, addr); err != nil && ctx.Err() == nil {
+			s.logger.Debug("engine views interrupted", "controller", addr, "error", err)
+		}
+		timer := s.clock.NewTimer(retryInterval)
+		select {
+		case <-timer.Chan():
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+func (s *Subscriber) stream(ctx context.Context, addr netip.AddrPort) error {
+	client := feedpb.NewDRPCFeedClient(s.dialer.Conn(ctx, addr))
+	stream, err := client.Watch(ctx, &feedpb.WatchRequest{Gateway: s.name})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		batch, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		s.deliver(batch)
+	}
+}
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"time"
+
+	"fireflypier.example/fireflypier/internal/engineview"
+	"fireflypier.example/fireflypier/internal/member"
+)
+
+// dump returns the state that GET /dump shows. It holds no key.
+func (g *Gateway) dump() any {
+	age, vouched := g.adoption.Age()
+	return struct {
+		Self          member.Member     `json:"self"`
+		Revision      int64             `json:"revision"`
+		Digest        string            `json:"digest"`
+		Vouched       bool              `json:"vouched"`
+		VouchedAge    time.Duration     `json:"vouched_age"`
+		Members       []member.Member   `json:"members"`
+		EngineViews   []engineview.View `json:"engine_views"`
+		CallerAddress string            `json:"caller_address"`
+	}{
+		Self:          g.membership.Self(),
+		Revision:      g.adoption.Current().Revision(),
+		Digest:        g.adoption.Current().Digest(),
+		Vouched:       vouched,
+		VouchedAge:    age,
+		Members:       g.membership.All(),
+		EngineViews:   g.views.All(),
+		CallerAddress: g.Addr().String(),
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,221 @@
+// Package gateway is the process between callers and targets: it wires the
+// callers' API, the configuration in force, the schedule and the listeners.
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/adminapi"
+	"fireflypier.example/fireflypier/internal/admission"
+	"fireflypier.example/fireflypier/internal/adoption"
+	"fireflypier.example/fireflypier/internal/callerapi"
+	"fireflypier.example/fireflypier/internal/dispatch"
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/engineview"
+	"fireflypier.example/fireflypier/internal/entry"
+	"fireflypier.example/fireflypier/internal/feed"
+	"fireflypier.example/fireflypier/internal/feed/feedpb"
+	"fireflypier.example/fireflypier/internal/follower"
+	"fireflypier.example/fireflypier/internal/limiter"
+	"fireflypier.example/fireflypier/internal/listener"
+	"fireflypier.example/fireflypier/internal/member"
+	"fireflypier.example/fireflypier/internal/membership"
+	"fireflypier.example/fireflypier/internal/metrics"
+	"fireflypier.example/fireflypier/internal/peer"
+	"fireflypier.example/fireflypier/internal/plainroute"
+	"fireflypier.example/fireflypier/internal/platform"
+	"fireflypier.example/fireflypier/internal/publication"
+	"fireflypier.example/fireflypier/internal/schedule"
+	"fireflypier.example/fireflypier/internal/settings"
+)
+
+// Gateway is one gateway process.
+type Gateway struct {
+	cfg    *settings.Gateway
+	clock  clockwork.Clock
+	logger hclog.Logger
+
+	platform   *platform.Client
+	adoption   *adoption.Adoption
+	follower   *follower.Follower
+	membership *membership.Membership
+	views      *engineview.Views
+	subscriber *feed.Subscriber
+	peers      *peer.Server
+	dialer     *peer.Dialer
+	callers    *listener.Listener
+	admin      *listener.Listener
+	done       chan struct{}
+}
+
+// Option changes a Gateway under construction.
+type Option func(*Gateway)
+
+// WithClock replaces the real clock.
+func WithClock(c clockwork.Clock) Option { return func(g *Gateway) { g.clock = c } }
+
+// WithLogger replaces the silent logger.
+func WithLogger(l hclog.Logger) Option { return func(g *Gateway) { g.logger = l } }
+
+// New returns a gateway that listens but does not serve yet; call Run.
+func New(cfg *settings.Gateway, opts ...Option) (*Gateway, error) {
+	g := &Gateway{
+		cfg:    cfg,
+		clock:  clockwork.NewRealClock(),
+		logger: hclog.NewNullLogger(),
+		views:  engineview.New(),
+		dialer: peer.NewDialer(),
+		done:   make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.platform = platform.New(cfg.Platform)
+	g.adoption = adoption.New(g.clock, cfg.FreshnessBound)
+	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
+	g.subscriber = feed.NewSubscriber(cfg.Name, g.dialer, g.controllers, g.deliver, g.clock, g.logger)
+	return g, nil
+}
+
+func (g *Gateway) listen() error {
+	registry := prometheus.NewRegistry()
+	var err error
+	g.peers, err = peer.Listen(g.cfg.PeerListen, g.logger)
+	if err != nil {
+		return err
+	}
+	handler := metrics.NewGateway(registry).Wrap(g.callerAPI().Handler(), g.clock)
+	g.callers, err = listener.Listen(g.cfg.Listen, handler,
+		listener.WithHeaderLimits(g.cfg.MaxHeaderBytes, g.cfg.HeaderTimeout),
+		listener.WithMaxConnections(g.cfg.MaxConnections))
+	if err != nil {
+		return err
+	}
+	g.admin, err = listener.Listen(g.cfg.AdminListen, adminapi.New(registry, g.adoption.Fresh, g.dump).Handler())
+	return err
+}
+
+func (g *Gateway) callerAPI() *callerapi.API {
+	admit := admission.New(g.adoption)
+	limits := limiter.New(g.clock, 1)
+	g.adoption.OnChange(limits.SetCatalog)
+	plain := plainroute.New(plainroute.Parts{
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits,
+		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
+		WriteError: callerapi.WriteError,
+	})
+	return callerapi.New(callerapi.Parts{
+		Clock:  g.clock,
+		Logger: g.logger,
+		Limits: callerapi.Limits{
+			MaxBodyBytes:     g.cfg.MaxBodyBytes,
+			BodyTimeout:      g.cfg.BodyTimeout,
+			RequestTimeout:   g.cfg.RequestTimeout,
+			DefaultMaxTokens: g.cfg.DefaultMaxTokens,
+		},
+		Admission: admit,
+		Limiter:   limits,
+		Dispatch:  dispatch.New(engine.NewClient(), schedule.New(g.views), g.logger),
+		Plain:     plain,
+		Entry:     entry.New(g.gateways, g.cfg.DataCentre, g.cfg.EntryTTL),
+	})
+}
+
+func (g *Gateway) gateways() []member.Member { return g.membership.Live(member.Gateway) }
+
+func (g *Gateway) self() member.Member {
+	return member.Member{
+		Name:        g.cfg.Name,
+		Incarnation: uuid.NewString(),
+		Role:        member.Gateway,
+		Region:      g.cfg.Region,
+		DataCentre:  g.cfg.DataCentre,
+		Address:     g.cfg.Address,
+		PeerAddress: g.cfg.PeerAddress,
+		State:       member.Live,
+	}
+}
+
+func (g *Gateway) controllers() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, m := range g.membership.Live(member.Controller) {
+		addresses = append(addresses, m.PeerAddress)
+	}
+	return addresses
+}
+
+func (g *Gateway) deliver(batch *feedpb.Views) {
+	g.views.Update(g.adoption.Current(), batch)
+}
+
+// Addr returns the address on which callers are served.
+func (g *Gateway) Addr() netip.AddrPort { return g.callers.Addr() }
+
+// Done is closed when Run has returned.
+func (g *Gateway) Done() <-chan struct{} { return g.done }
+
+// Run serves until ctx ends, then leaves without cutting a request: the
+// gateway is marked as leaving, goes on accepting for the time that callers
+// keep its address, and finishes everything within the drain timeout. It may
+// be called once.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer close(g.done)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { g.follower.Run(background) })
+	wg.Go(func() { g.membership.Run(background) })
+	wg.Go(func() { g.subscriber.Run(background) })
+	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
+	wg.Go(func() { g.logError("admin", g.admin.Run()) })
+	wg.Go(func() { g.logError("callers", g.callers.Run()) })
+	g.logger.Info("gateway serves", "address", g.callers.Addr(), "admin", g.admin.Addr())
+	<-ctx.Done()
+	err := g.leave(background)
+	g.logger.Info("gateway has stopped")
+	return err
+}
+
+func (g *Gateway) logError(part string, err error) {
+	if err != nil {
+		g.logger.Error("part ended", "part", part, "error", err)
+	}
+}
+
+// leave drains the gateway.
+func (g *Gateway) leave(ctx context.Context) error {
+	g.logger.Info("gateway leaves")
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.EntryTTL+g.cfg.DrainTimeout)
+	defer cancel()
+	if err := g.membership.Leave(ctx); err != nil {
+		g.logger.Warn("leaving not recorded", "error", err)
+	}
+	g.sleep(ctx, g.cfg.EntryTTL)
+	err := g.callers.Shutdown(ctx)
+	g.logError("admin", g.admin.Shutdown(ctx))
+	return errors.Wrap(err, "drain gateway")
+}
+
+func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
+	timer := g.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/object/set.go
@@ -0,0 +1,109 @@
+package object
+
+import (
+	"maps"
+	"slices"
+)
+
+// Set is a whole set of objects by kind and name. A published Set is
+// immutable; Clone before changing one.
+type Set struct {
+	// Models to Targets hold the objects by name.
+	Models    map[string]Model    `json:"models,omitzero"`
+	Adapters  map[string]Adapter  `json:"adapters,omitzero"`
+	Customers map[string]Customer `json:"customers,omitzero"`
+	Keys      map[string]Key      `json:"keys,omitzero"`
+	Rates     map[string]Rate     `json:"rates,omitzero"`
+	Routes    map[string]Route    `json:"routes,omitzero"`
+	Pools     map[string]Pool     `json:"pools,omitzero"`
+	Targets   map[string]Target   `json:"targets,omitzero"`
+}
+
+// Clone returns a copy of s whose maps may be changed.
+func (s *Set) Clone() *Set {
+	return &Set{
+		Models:    cloneMap(s.Models),
+		Adapters:  cloneMap(s.Adapters),
+		Customers: cloneMap(s.Customers),
+		Keys:      cloneMap(s.Keys),
+		Rates:     cloneMap(s.Rates),
+		Routes:    cloneMap(s.Routes),
+		Pools:     cloneMap(s.Pools),
+		Targets:   cloneMap(s.Targets),
+	}
+}
+
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
+	}
+	return maps.Clone(m)
+}
+
+// Merge copies every object of other into s, replacing those of the same
+// kind and name. The maps of s must not be nil; see Clone.
+func (s *Set) Merge(other *Set) {
+	maps.Copy(s.Models, other.Models)
+	maps.Copy(s.Adapters, other.Adapters)
+	maps.Copy(s.Customers, other.Customers)
+	maps.Copy(s.Keys, other.Keys)
+	maps.Copy(s.Rates, other.Rates)
+	maps.Copy(s.Routes, other.Routes)
+	maps.Copy(s.Pools, other.Pools)
+	maps.Copy(s.Targets, other.Targets)
+}
+
+// Delete removes the object that r names; an absent object is no error.
+func (s *Set) Delete(r Ref) {
+	switch r.Kind {
+	case KindModel:
+		delete(s.Models, r.Name)
+	case KindAdapter:
+		delete(s.Adapters, r.Name)
+	case KindCustomer:
+		delete(s.Customers, r.Name)
+	case KindKey:
+		delete(s.Keys, r.Name)
+	case KindRate:
+		delete(s.Rates, r.Name)
+	case KindRoute:
+		delete(s.Routes, r.Name)
+	case KindPool:
+		delete(s.Pools, r.Name)
+	case KindTarget:
+		delete(s.Targets, r.Name)
+	}
+}
+
+// Refs returns the references of all objects of s, sorted.
+func (s *Set) Refs() []Ref {
+	var refs []Ref
+	refs = appendRefs(refs, KindModel, s.Models)
+	refs = appendRefs(refs, KindAdapter, s.Adapters)
+	refs = appendRefs(refs, KindCustomer, s.Customers)
+	refs = appendRefs(refs, KindKey, s.Keys)
+	refs = appendRefs(refs, KindRate, s.Rates)
+	refs = appendRefs(refs, KindRoute, s.Routes)
+	refs = appendRefs(refs, KindPool, s.Pools)
+	refs = appendRefs(refs, KindTarget, s.Targets)
+	return refs
+}
+
+func appendRefs[V any](refs []Ref, k Kind, m map[string]V) []Ref {
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		refs = append(refs, Ref{Kind: k, Name: name})
+	}
+	return refs
+}
+
+// PoolTargets returns the names of the targets of a pool, sorted.
+func (s *Set) PoolTargets(pool string) []string {
+	var names []string
+	for name, t := range s.Targets {
+		if t.Pool == pool {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,62 @@
+// Package peer carries drpc calls between the system's own processes over
+// TCP.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server answers calls of other processes. Register every service before
+// Run.
+type Server struct {
+	mux      *drpcmux.Mux
+	listener net.Listener
+	logger   hclog.Logger
+	done     chan struct{}
+}
+
+// Listen returns a server that listens on addr; port zero takes a free one.
+func Listen(addr netip.AddrPort, logger hclog.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return &Server{
+		mux:      drpcmux.New(),
+		listener: listener,
+		logger:   logger,
+		done:     make(chan struct{}),
+	}, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort {
+	addr, ok := s.listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return addr.AddrPort()
+}
+
+// Mux returns where services register.
+func (s *Server) Mux() drpc.Mux { return s.mux }
+
+// Run answers calls until ctx ends. It may be called once.
+func (s *Server) Run(ctx context.Context) error {
+	defer close(s.done)
+	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{
+		Log: func(err error) { s.logger.Debug("peer connection ended", "error", err) },
+	})
+	return errors.Wrap(server.Serve(ctx, s.listener), "serve peers")
+}
+
+// Done is closed when Run has returned.
+func (s *Server) Done() <-chan struct{} { return s.done }
--- /dev/null
+++ b/internal/standin/cloud/cloud.go
@@ -0,0 +1,217 @@
+// Package cloud is a stand-in for the platform: table service, object store,
+// weight store and lagging VM list behind one HTTP listener.
+package cloud
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/jonboulle/clockwork"
+	"github.com/julienschmidt/httprouter"
+
+	"fireflypier.example/fireflypier/internal/document"
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/standin/tablestore"
+	"fireflypier.example/fireflypier/internal/table"
+	"fireflypier.example/fireflypier/internal/vmlist"
+)
+
+const maxBodyBytes = 64 << 20
+
+// Fault is what the platform does wrong.
+type Fault struct {
+	tablestore.Fault
+	// Delay holds back each answer of the table and the object store.
+	Delay time.Duration `json:"delay,omitzero"`
+	// ListOutage refuses the VM list.
+	ListOutage bool `json:"list_outage,omitzero"`
+}
+
+// Cloud is the stand-in platform.
+type Cloud struct {
+	clock   clockwork.Clock
+	store   *tablestore.Store
+	weights *weights
+
+	mu    sync.Mutex
+	fault Fault
+	vms   []vmlist.VM
+	lag   time.Duration
+}
+
+// New returns a platform with an empty store. The VM list shows a change only
+// after listLag.
+func New(cfg WeightConfig, listLag time.Duration, clock clockwork.Clock) *Cloud {
+	return &Cloud{
+		clock:   clock,
+		store:   tablestore.New(),
+		weights: &weights{clock: clock, cfg: cfg},
+		lag:     listLag,
+	}
+}
+
+// Handler returns the platform's HTTP interface.
+func (c *Cloud) Handler() http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, "/table/row", c.stored(c.serveRow))
+	router.HandlerFunc(http.MethodGet, "/table/scan", c.stored(c.serveScan))
+	router.HandlerFunc(http.MethodPost, "/table/commit", c.stored(c.serveCommit))
+	router.HandlerFunc(http.MethodGet, "/objects/*key", c.stored(c.serveObject))
+	router.HandlerFunc(http.MethodPut, "/objects/*key", c.stored(c.servePut))
+	router.HandlerFunc(http.MethodGet, "/vms", c.serveVMs)
+	router.HandlerFunc(http.MethodPost, "/weights/load", c.serveLoad)
+	router.HandlerFunc(http.MethodPost, "/standin/fault", c.serveFault)
+	router.HandlerFunc(http.MethodPost, "/standin/weights", c.serveWeights)
+	router.HandlerFunc(http.MethodPost, "/standin/vms", c.serveSetVMs)
+	router.HandlerFunc(http.MethodGet, "/standin/counts", c.serveCounts)
+	return router
+}
+
+// stored holds an answer back by the configured delay.
+func (c *Cloud) stored(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		delay := c.fault.Delay
+		c.mu.Unlock()
+		if delay > 0 {
+			c.clock.Sleep(delay)
+		}
+		h(w, r)
+	}
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.MarshalWrite(w, v)
+	case failure.Is(err, failure.OutcomeUnknown):
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(w, err.Error(), failure.From(err).Answer().Status)
+	}
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err == nil {
+		err = document.Decode("body", data, v)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (c *Cloud) serveRow(w http.ResponseWriter, r *http.Request) {
+	row, err := c.store.Get(r.Context(), r.URL.Query().Get("key"))
+	if err == nil && row.Version == 0 {
+		err = failure.New(failure.NotFound, "no such row")
+	}
+	answer(w, row, err)
+}
+
+func (c *Cloud) serveScan(w http.ResponseWriter, r *http.Request) {
+	rows, err := c.store.Scan(r.Context(), r.URL.Query().Get("prefix"))
+	answer(w, struct {
+		Rows []table.Row `json:"rows"`
+	}{rows}, err)
+}
+
+func (c *Cloud) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var tx table.Tx
+	if !readBody(w, r, &tx) {
+		return
+	}
+	version, err := c.store.Commit(r.Context(), tx)
+	answer(w, struct {
+		Version int64 `json:"version"`
+	}{version}, err)
+}
+
+func (c *Cloud) serveObject(w http.ResponseWriter, r *http.Request) {
+	data, err := c.store.Objects().Get(r.Context(), strings.TrimPrefix(r.URL.Path, "/objects/"))
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (c *Cloud) servePut(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = c.store.Objects().Put(r.Context(), strings.TrimPrefix(r.URL.Path, "/objects/"), data)
+	answer(w, struct{}{}, err)
+}
+
+func (c *Cloud) serveVMs(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fault.ListOutage {
+		answer(w, nil, failure.New(failure.StoreUnavailable, "the VM list is out"))
+		return
+	}
+	answer(w, struct {
+		VMs []vmlist.VM `json:"vms"`
+	}{c.vms}, nil)
+}
+
+func (c *Cloud) serveLoad(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Kind object.Kind `json:"kind"`
+		Name string      `json:"name"`
+	}
+	if !readBody(w, r, &body) {
+		return
+	}
+	if err := c.weights.load(r.Context(), body.Kind); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, struct{}{}, nil)
+}
+
+func (c *Cloud) serveFault(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	if !readBody(w, r, &fault) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = fault
+	c.store.SetFault(fault.Fault)
+}
+
+func (c *Cloud) serveWeights(w http.ResponseWriter, r *http.Request) {
+	var cfg WeightConfig
+	if readBody(w, r, &cfg) {
+		c.weights.setConfig(cfg)
+	}
+}
+
+func (c *Cloud) serveSetVMs(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		VMs []vmlist.VM `json:"vms"`
+	}
+	if !readBody(w, r, &body) {
+		return
+	}
+	c.clock.AfterFunc(c.lag, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.vms = body.VMs
+	})
+}
+
+func (c *Cloud) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	answer(w, c.store.Counts(), nil)
+}
--- /dev/null
+++ b/internal/standin/cloud/weights.go
@@ -0,0 +1,94 @@
+package cloud
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"fireflypier.example/fireflypier/internal/object"
+)
+
+// WeightConfig is the speed of the weight store.
+type WeightConfig struct {
+	// LoadsPerSecond spaces the starts of model loads; zero means no limit.
+	LoadsPerSecond float64 `json:"loads_per_second,omitzero"`
+	// LoadsAtOnce run at full speed; more slow each other down.
+	LoadsAtOnce int `json:"loads_at_once,omitzero"`
+	// LoadTime is the time of one model load at full speed.
+	LoadTime time.Duration `json:"load_time,omitzero"`
+	// AdapterLoadsAtOnce run at full speed; more slow each other down.
+	AdapterLoadsAtOnce int `json:"adapter_loads_at_once,omitzero"`
+	// AdapterLoadTime is the time of one adapter load at full speed.
+	AdapterLoadTime time.Duration `json:"adapter_load_time,omitzero"`
+}
+
+// weights is the weight store.
+type weights struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	cfg      WeightConfig
+	next     time.Time
+	models   int
+	adapters int
+	loads    int64
+}
+
+// load blocks for the time that one load takes now.
+func (s *weights) load(ctx context.Context, kind object.Kind) error {
+	wait := s.begin(kind)
+	defer s.end(kind)
+	timer := s.clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *weights) begin(kind object.Kind) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads++
+	if kind == object.KindAdapter {
+		s.adapters++
+		return slowed(s.cfg.AdapterLoadTime, s.adapters, s.cfg.AdapterLoadsAtOnce)
+	}
+	s.models++
+	now := s.clock.Now()
+	start := now
+	if s.cfg.LoadsPerSecond > 0 {
+		if s.next.After(start) {
+			start = s.next
+		}
+		s.next = start.Add(time.Duration(float64(time.Second) / s.cfg.LoadsPerSecond))
+	}
+	return start.Sub(now) + slowed(s.cfg.LoadTime, s.models, s.cfg.LoadsAtOnce)
+}
+
+func (s *weights) end(kind object.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kind == object.KindAdapter {
+		s.adapters--
+		return
+	}
+	s.models--
+}
+
+func (s *weights) setConfig(cfg WeightConfig) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg = cfg
+}
+
+func slowed(d time.Duration, now, limit int) time.Duration {
+	if limit <= 0 || now <= limit {
+		return d
+	}
+	return d * time.Duration(now) / time.Duration(limit)
+}
--- /dev/null
+++ b/internal/standin/modelengine/generate.go
@@ -0,0 +1,171 @@
+package modelengine
+
+import (
+	"bytes"
+	"context"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/prefix"
+)
+
+// bytesPerToken is the size of a prompt token.
+const bytesPerToken = 4
+
+var lengthPattern = regexp.MustCompile(`\[tokens=(\d+)\]`)
+
+// Token returns the text of the token at an index of the answer to a prompt.
+// Every engine gives the same, so that a stream can go on at another engine.
+func Token(prompt []byte, index int) string {
+	digest := xxhash.New()
+	_, _ = digest.Write(prompt)
+	_, _ = digest.WriteString(strconv.Itoa(index))
+	return " t" + strconv.FormatUint(digest.Sum64()%100_000, 36)
+}
+
+// PromptTokens returns the number of tokens of a prompt.
+func PromptTokens(prompt []byte) int { return (len(prompt) + bytesPerToken - 1) / bytesPerToken }
+
+// answerLength returns the number of tokens of the whole answer. A prompt
+// that contains [tokens=N] is answered with N tokens.
+func answerLength(req *engine.GenerateRequest) (n int, reason string) {
+	if m := lengthPattern.FindSubmatch(req.Prompt); m != nil {
+		if n, err := strconv.Atoi(string(m[1])); err == nil && n < req.MaxTokens {
+			return n, "stop"
+		}
+	}
+	return req.MaxTokens, "length"
+}
+
+// Generate runs req and calls emit for each frame. It returns a failure of
+// kind NoReplica or Overloaded when nothing ran. A canceled ctx or an error
+// of emit ends the work.
+func (e *Engine) Generate(ctx context.Context, req *engine.GenerateRequest, emit func(engine.Frame) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ran, err := e.begin(req, cancel)
+	if err != nil {
+		return err
+	}
+	defer e.end(req)
+	if !e.enter(ctx, req.Priority) {
+		return ctx.Err()
+	}
+	defer e.leave()
+	return e.run(ctx, req, ran, emit)
+}
+
+func (e *Engine) begin(req *engine.GenerateRequest, cancel context.CancelFunc) (*Ran, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.fault.Refuse, len(e.waiting) > e.cfg.MaxWaiting:
+		return nil, failure.New(failure.Overloaded, "%d requests wait", len(e.waiting))
+	case !e.hasWeights(req):
+		return nil, failure.New(failure.NoReplica, "model %s %s adapter %q is not loaded", req.Model, req.Version, req.Adapter)
+	}
+	ran := &Ran{AttemptID: req.AttemptID, Model: req.Model}
+	e.ran = append(e.ran, ran)
+	e.cancels[req.AttemptID] = cancel
+	e.tokens += req.MaxTokens
+	return ran, nil
+}
+
+func (e *Engine) end(req *engine.GenerateRequest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.cancels, req.AttemptID)
+	e.tokens -= req.MaxTokens
+}
+
+// Cancel stops an attempt; an unknown one is ignored.
+func (e *Engine) Cancel(attemptID string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel, ok := e.cancels[attemptID]; ok {
+		cancel()
+	}
+}
+
+func (e *Engine) run(ctx context.Context, req *engine.GenerateRequest, ran *Ran, emit func(engine.Frame) error) error {
+	cached := e.prefill(ctx, req)
+	length, reason := answerLength(req)
+	for i := req.Offset; i < length; i++ {
+		if !e.step(ctx) {
+			return ctx.Err()
+		}
+		fault := e.count(ran)
+		if fault.CutAfterTokens > 0 && i-req.Offset >= fault.CutAfterTokens {
+			return failure.New(failure.Internal, "the stream is cut")
+		}
+		if fault.CrossAnswers {
+			if err := emit(engine.Frame{AttemptID: "other-" + req.AttemptID, Offset: i, Text: " crossed"}); err != nil {
+				return err
+			}
+		}
+		if err := emit(engine.Frame{AttemptID: req.AttemptID, Offset: i, Text: Token(req.Prompt, i)}); err != nil {
+			return err
+		}
+	}
+	e.finish(ran)
+	return emit(engine.Frame{
+		AttemptID: req.AttemptID, Offset: length, Done: true, FinishReason: reason,
+		Usage: engine.Usage{
+			PromptTokens:     PromptTokens(req.Prompt),
+			CompletionTokens: length,
+			CachedTokens:     cached * prefix.BlockBytes / bytesPerToken,
+		},
+	})
+}
+
+func (e *Engine) count(ran *Ran) Fault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ran.Tokens++
+	return e.fault
+}
+
+func (e *Engine) finish(ran *Ran) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ran.Finished = true
+}
+
+// prefill reads the prompt and returns the number of cached blocks.
+func (e *Engine) prefill(ctx context.Context, req *engine.GenerateRequest) int {
+	hashes := prefix.Of(req.Model, bytes.TrimSpace(req.Prompt))
+	e.mu.Lock()
+	cached := e.cache.match(hashes)
+	e.cache.add(hashes, e.clock.Now())
+	e.mu.Unlock()
+	missing := PromptTokens(req.Prompt) - cached*prefix.BlockBytes/bytesPerToken
+	e.sleep(ctx, time.Duration(missing)*e.cfg.PrefillPerToken)
+	return cached
+}
+
+// step waits for one decoding step of the whole batch.
+func (e *Engine) step(ctx context.Context) bool {
+	e.mu.Lock()
+	d := e.cfg.StepBase + time.Duration(e.running)*e.cfg.StepPerSequence
+	e.mu.Unlock()
+	return e.sleep(ctx, d)
+}
+
+func (e *Engine) sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := e.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/modelengine/memory.go
@@ -0,0 +1,91 @@
+package modelengine
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/object"
+)
+
+// WeightStore loads weights from the platform.
+type WeightStore interface {
+	// Load blocks until the weights have arrived.
+	Load(ctx context.Context, kind object.Kind, name string, bytes int64) error
+}
+
+// memory is the accelerator memory; the engine's mutex guards it.
+type memory struct {
+	limit      int64
+	entries    map[entryKey]engine.Entry
+	violations int
+}
+
+type entryKey struct {
+	kind    object.Kind
+	name    string
+	version string
+}
+
+func keyOf(o *engine.Order) entryKey {
+	return entryKey{kind: o.Kind, name: o.Name, version: o.Version}
+}
+
+func (m *memory) used() int64 {
+	var total int64
+	for _, e := range m.entries {
+		total += e.MemoryBytes
+	}
+	return total
+}
+
+// add reserves memory for a load and reports whether it is new.
+func (m *memory) add(o *engine.Order) bool {
+	key := keyOf(o)
+	if _, ok := m.entries[key]; ok {
+		return false
+	}
+	m.entries[key] = engine.Entry{
+		Kind: o.Kind, Name: o.Name, Version: o.Version,
+		MemoryBytes: o.MemoryBytes, State: engine.Loading, OrderID: o.OrderID,
+	}
+	if m.used() > m.limit {
+		m.violations++
+	}
+	return true
+}
+
+func (m *memory) loaded(o *engine.Order) {
+	key := keyOf(o)
+	e, ok := m.entries[key]
+	if ok && e.OrderID == o.OrderID {
+		e.State = engine.Loaded
+		m.entries[key] = e
+	}
+}
+
+func (m *memory) remove(o *engine.Order) { delete(m.entries, keyOf(o)) }
+
+func (m *memory) has(kind object.Kind, name, version string) bool {
+	e, ok := m.entries[entryKey{kind: kind, name: name, version: version}]
+	return ok && e.State == engine.Loaded
+}
+
+func (m *memory) list() []engine.Entry {
+	keys := slices.Collect(maps.Keys(m.entries))
+	slices.SortFunc(keys, func(a, b entryKey) int {
+		switch {
+		case a.name+a.version < b.name+b.version:
+			return -1
+		case a.name+a.version > b.name+b.version:
+			return 1
+		}
+		return 0
+	})
+	list := make([]engine.Entry, 0, len(keys))
+	for _, key := range keys {
+		list = append(list, m.entries[key])
+	}
+	return list
+}
--- /dev/null
+++ b/internal/standin/plainservice/plainservice.go
@@ -0,0 +1,147 @@
+// Package plainservice is a stand-in for a plain service, such as the print
+// desk, that records what it really ran.
+package plainservice
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/jonboulle/clockwork"
+	"github.com/julienschmidt/httprouter"
+
+	"fireflypier.example/fireflypier/internal/document"
+)
+
+const maxBodyBytes = 64 << 20
+
+// Ran records one request that the service ran.
+type Ran struct {
+	// Method, Path, Query, Header, Body and Trailer are the request's.
+	Method  string              `json:"method"`
+	Path    string              `json:"path"`
+	Query   string              `json:"query,omitzero"`
+	Header  map[string][]string `json:"header"`
+	Body    string              `json:"body"`
+	Trailer map[string][]string `json:"trailer,omitzero"`
+}
+
+// Fault is what the service does wrong.
+type Fault struct {
+	// LoseAnswers is the number of following requests that run but are not
+	// answered.
+	LoseAnswers int `json:"lose_answers,omitzero"`
+	// RefuseNext is the number of following requests answered 503 with the
+	// header Not-Run, without being run.
+	RefuseNext int `json:"refuse_next,omitzero"`
+	// Delay is the time that each request takes.
+	Delay time.Duration `json:"delay,omitzero"`
+}
+
+// Service answers every request with an echo of its body and its number.
+type Service struct {
+	clock clockwork.Clock
+
+	mu    sync.Mutex
+	ran   []Ran
+	fault Fault
+}
+
+// New returns a service that has run nothing.
+func New(clock clockwork.Clock) *Service { return &Service{clock: clock} }
+
+// SetFault replaces the service's faults.
+func (s *Service) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Ran returns what the service ran, in order.
+func (s *Service) Ran() []Ran {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ran)
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, "/standin/ran", s.serveRan)
+	router.HandlerFunc(http.MethodPost, "/standin/fault", s.serveFault)
+	router.NotFound = http.HandlerFunc(s.serve)
+	router.HandleMethodNotAllowed = false
+	return router
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if s.refuses() {
+		w.Header().Set("Not-Run", "true")
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	number, fault := s.record(r, body)
+	if fault.Delay > 0 {
+		s.clock.Sleep(fault.Delay)
+	}
+	if fault.LoseAnswers > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.MarshalWrite(w, struct {
+		Number int    `json:"number"`
+		Path   string `json:"path"`
+		Echo   string `json:"echo"`
+	}{number, r.URL.Path, string(body)})
+}
+
+func (s *Service) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault.RefuseNext == 0 {
+		return false
+	}
+	s.fault.RefuseNext--
+	return true
+}
+
+func (s *Service) record(r *http.Request, body []byte) (number int, fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ran = append(s.ran, Ran{
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
+		Header: maps.Clone(r.Header), Body: string(body), Trailer: maps.Clone(r.Trailer),
+	})
+	fault = s.fault
+	s.fault.LoseAnswers = max(0, fault.LoseAnswers-1)
+	return len(s.ran), fault
+}
+
+func (s *Service) serveRan(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.MarshalWrite(w, struct {
+		Ran []Ran `json:"ran"`
+	}{s.Ran()})
+}
+
+func (s *Service) serveFault(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var fault Fault
+	if err := document.Decode("body", data, &fault); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFault(fault)
+}
--- /dev/null
+++ b/tests/suite_test.go
@@ -0,0 +1,48 @@
+// Package tests holds the integration tests: real processes on loopback,
+// stand-ins for the outside systems, and a small fault proxy between them.
+package tests
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/fleet"
+)
+
+// conditionTimeout bounds the wait for a condition. It is generous, since a
+// test's verdict must not depend on the machine's speed.
+const conditionTimeout = 60 * time.Second
+
+var programs fleet.Programs
+
+func TestIntegration(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "integration")
+}
+
+var _ = BeforeSuite(func() {
+	dir, err := os.MkdirTemp("", "fireflypier-programs-")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, dir)
+	programs, err = fleet.Build(context.Background(), dir)
+	Expect(err).NotTo(HaveOccurred())
+})
+
+// newFleet returns a fleet that is closed at the end of the test.
+func newFleet() *fleet.Fleet {
+	f := fleet.New(programs, GinkgoT().TempDir())
+	DeferCleanup(f.Close)
+	return f
+}
+
+// testContext returns a context that bounds one test's waits.
+func testContext() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), conditionTimeout)
+	DeferCleanup(cancel)
+	return ctx
+}
