--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -128,6 +128,12 @@
 	QueuedTokens int `json:"queued_tokens"`
 	// Fencing is the highest fencing number seen.
 	Fencing int64 `json:"fencing"`
+	// Sequence grows with every change of the engine's state within one life;
+	// a report with a lower number is older.
+	Sequence int64 `json:"sequence,omitzero"`
+	// Carried lists the ids of the orders carried out last, oldest first; at
+	// least the last 256.
+	Carried []string `json:"carried,omitzero"`
 	// Role is the engine's role.
 	Role string `json:"role,omitzero"`
 	// Events are the cache events after the one asked for, oldest first.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,93 +1,179 @@
-// Package placement decides which engine should load which model.
+// Package placement decides which engine should load or unload which model
+// and adapter. Every model keeps a confirmed replica; what memory is left
+// follows demand, where a move earns more than it costs.
 package placement
 
 import (
-	"maps"
-	"slices"
+	"time"
 
 	"fireflypier.example/fireflypier/internal/ledger"
 	"fireflypier.example/fireflypier/internal/object"
 )
 
-// Load is a load that placement asks for.
-type Load struct {
-	// Target names the engine.
-	Target string
-	// Model names the model, Version and MemoryBytes its weights.
+// Engine is an engine that placement may use.
+type Engine struct {
+	// Target names the engine, VM and DataCentre tell where it is.
+	Target     string
+	VM         string
+	DataCentre string
+	// Ledger is the record of its memory; it is not changed.
+	Ledger *ledger.Ledger
+	// Reachable engines answered their last report; Down engines have not
+	// answered for long enough to be given up.
+	Reachable bool
+	Down      bool
+	// Busy engines take no orders now.
+	Busy bool
+}
+
+// Model is a model to place.
+type Model struct {
+	// Name, Version and MemoryBytes describe the weights.
+	Name        string
+	Version     string
+	MemoryBytes int64
+	// Replicas is the number wanted at least; zero means two where memory
+	// allows.
+	Replicas int
+	// TokensPerSecond is the demand, Waiting the requests without a replica.
+	TokensPerSecond float64
+	Waiting         int
+}
+
+// Adapter is an adapter that is loaded on demand.
+type Adapter struct {
+	// Name, Model, Version and MemoryBytes describe the weights.
+	Name        string
 	Model       string
 	Version     string
 	MemoryBytes int64
+	// TokensPerSecond is the demand, Waiting the requests without a replica.
+	TokensPerSecond float64
+	Waiting         int
 }
 
-// defaultReplicas is wanted for models that name no number.
-const defaultReplicas = 2
+// Input is what one decision stands on.
+type Input struct {
+	// Engines, Models and Adapters are sorted by name.
+	Engines  []Engine
+	Models   []Model
+	Adapters []Adapter
+	// Loads and AdapterLoads bound the loads that may begin now.
+	Loads        int
+	AdapterLoads int
+	// Settled is false while demand has not been observed long enough to
+	// move anything for it.
+	Settled bool
+	// Now is the time of the decision.
+	Now time.Time
+}
 
-// Placement decides for one pool. It has no input or output.
-type Placement struct {
-	objects *object.Set
-	pool    string
+// Action is an order that placement asks for: a Load or an Unload.
+type Action interface{ action() }
+
+// Load asks an engine to load weights.
+type Load struct {
+	// Target names the engine, Weights what to load.
+	Target      string
+	Weights     ledger.Weights
+	MemoryBytes int64
+	// Reason tells operators why.
+	Reason string
 }
 
-// New returns a placement for the models of a pool.
-func New(objects *object.Set, pool string) *Placement {
-	return &Placement{objects: objects, pool: pool}
+// Unload asks an engine to unload weights.
+type Unload struct {
+	// Target names the engine, Weights what to unload.
+	Target  string
+	Weights ledger.Weights
+	// Reason tells operators why.
+	Reason string
 }
 
-// Next returns the loads to begin now, at most limit: first models without a
-// replica, then those with too few.
-func (p *Placement) Next(ledgers map[string]*ledger.Ledger, limit int) []Load {
-	var loads []Load
-	free := map[string]int64{}
-	for name, l := range ledgers {
-		free[name] = l.Free()
-	}
-	for wanted := 1; wanted <= defaultReplicas; wanted++ {
-		for _, name := range slices.Sorted(maps.Keys(p.objects.Models)) {
-			m := p.objects.Models[name]
-			if m.Pool != p.pool || wanted > max(m.Replicas, 1) && m.Replicas != 0 {
-				continue
-			}
-			holders := p.holders(ledgers, name, &m)
-			if len(holders) >= wanted || len(loads) >= limit {
-				continue
-			}
-			if target, ok := p.choose(free, holders, &m); ok {
-				free[target] -= m.MemoryBytes
-				loads = append(loads, Load{Target: target, Model: name, Version: m.Version, MemoryBytes: m.MemoryBytes})
-			}
-		}
-		if len(loads) > 0 {
-			return loads
-		}
+func (Load) action()   {}
+func (Unload) action() {}
+
+// The reasons of actions.
+const (
+	ReasonUnreachable = "model has no replica"
+	ReasonAtRisk      = "model has one replica"
+	ReasonWanted      = "model has fewer replicas than wanted"
+	ReasonDemand      = "demand"
+	ReasonRoll        = "new version"
+	ReasonRemoved     = "not configured"
+	ReasonRoom        = "room for another model"
+	ReasonShrunk      = "memory was lowered"
+	ReasonAdapter     = "requests need the adapter"
+	ReasonOrphan      = "the adapter's model is not loaded here"
+)
+
+const (
+	defaultReplicas = 2
+	// defaultMinGain is the least improvement of the balance for which a
+	// replica is moved, as a part of the cost of an even balance.
+	defaultMinGain = 0.01
+	// defaultCoolDown is the time between two moves for the demand of one
+	// model, unless the gain is urgentGain times the least one.
+	defaultCoolDown = time.Minute
+	urgentGain      = 5
+)
+
+// Placement decides for the models of one shard. It has no input or output
+// and belongs to one goroutine.
+type Placement struct {
+	minGain  float64
+	coolDown time.Duration
+	moved    map[string]time.Time
+}
+
+// Option changes a Placement under construction.
+type Option func(*Placement)
+
+// WithMinGain sets the least gain of a move; see defaultMinGain.
+func WithMinGain(gain float64) Option { return func(p *Placement) { p.minGain = gain } }
+
+// WithCoolDown sets the time between two moves for one model.
+func WithCoolDown(d time.Duration) Option { return func(p *Placement) { p.coolDown = d } }
+
+// New returns a placement.
+func New(opts ...Option) *Placement {
+	p := &Placement{minGain: defaultMinGain, coolDown: defaultCoolDown, moved: map[string]time.Time{}}
+	for _, opt := range opts {
+		opt(p)
 	}
-	return loads
+	return p
 }
 
-func (p *Placement) holders(ledgers map[string]*ledger.Ledger, name string, m *object.Model) []string {
-	var holders []string
-	for target, l := range ledgers {
-		if l.Find(object.KindModel, name, m.Version) >= 0 {
-			holders = append(holders, target)
+// Next returns the orders to begin now, the most pressing first.
+func (p *Placement) Next(in *Input) []Action {
+	v := newView(in)
+	v.dropUnwanted()
+	v.shrink()
+	for wanted := 1; wanted <= v.mostWanted(); wanted++ {
+		for _, m := range v.byUrgency() {
+			v.ensure(m, wanted)
 		}
 	}
-	return holders
+	v.roll()
+	v.loadAdapters()
+	if in.Settled {
+		p.balance(v)
+	}
+	return v.actions
 }
 
-// choose returns the engine with the most free memory on a VM that does not
-// hold the model.
-func (p *Placement) choose(free map[string]int64, holders []string, m *object.Model) (string, bool) {
-	used := map[string]bool{}
-	for _, holder := range holders {
-		used[p.objects.Targets[holder].VM] = true
-	}
-	best := ""
-	for _, target := range slices.Sorted(maps.Keys(free)) {
-		if used[p.objects.Targets[target].VM] || free[target] < m.MemoryBytes {
-			continue
-		}
-		if best == "" || free[target] > free[best] {
-			best = target
-		}
+func (m *Model) weights() ledger.Weights {
+	return ledger.Weights{Kind: object.KindModel, Name: m.Name, Version: m.Version}
+}
+
+func (a *Adapter) weights() ledger.Weights {
+	return ledger.Weights{Kind: object.KindAdapter, Name: a.Name, Version: a.Version}
+}
+
+// wanted returns the replicas that the model should have, demand aside.
+func (m *Model) wanted() int {
+	if m.Replicas == 0 {
+		return defaultReplicas
 	}
-	return best, best != ""
+	return m.Replicas
 }
--- a/internal/standin/modelengine/config.go
+++ b/internal/standin/modelengine/config.go
@@ -17,6 +17,8 @@
 	PrefillPerToken time.Duration `json:"prefill_per_token,omitzero"`
 	// CacheBlocks bounds the prefix cache.
 	CacheBlocks int `json:"cache_blocks,omitzero"`
+	// UnloadTime is how long an unload holds its memory after its answer.
+	UnloadTime time.Duration `json:"unload_time,omitzero"`
 	// ReportLag is how far reports and cache events lag behind.
 	ReportLag time.Duration `json:"report_lag,omitzero"`
 	// ChecksFencing makes the engine refuse orders with old numbers.
--- a/internal/standin/modelengine/engine.go
+++ b/internal/standin/modelengine/engine.go
@@ -16,6 +16,9 @@
 	"fireflypier.example/fireflypier/internal/object"
 )
 
+// maxCarried is the number of order ids that a report lists.
+const maxCarried = 256
+
 // Ran records one generation that the engine began.
 type Ran struct {
 	// AttemptID, Model and Tokens tell what ran and how much of it.
@@ -47,6 +50,9 @@
 	ran     []*Ran
 	history []timedReport
 	loads   sync.WaitGroup
+	// sequence counts the states remembered, carried the orders' ids.
+	sequence int64
+	carried  []string
 }
 
 type waiter struct {
@@ -99,11 +105,13 @@
 		return false
 	}
 	e.fencing = max(e.fencing, o.Fencing)
+	e.carried = append(e.carried, o.OrderID)
+	e.carried = e.carried[max(0, len(e.carried)-maxCarried):]
 	switch o.Action {
 	case engine.Load:
 		e.load(o)
 	case engine.Unload:
-		e.memory.remove(o)
+		e.unload(o)
 	case engine.Role:
 		e.role = o.Role
 	}
@@ -111,6 +119,22 @@
 	return true
 }
 
+// unload stops serving the weights at once and frees their memory after the
+// configured time. The mutex is held.
+func (e *Engine) unload(o *engine.Order) {
+	if e.cfg.UnloadTime == 0 {
+		e.memory.remove(o)
+		return
+	}
+	e.memory.retire(o)
+	e.clock.AfterFunc(e.cfg.UnloadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.memory.removeRetired(o)
+		e.remember()
+	})
+}
+
 // load reserves the memory and starts fetching the weights. The mutex is
 // held.
 func (e *Engine) load(o *engine.Order) {
@@ -153,6 +177,7 @@
 func (e *Engine) remember() {
 	now := e.clock.Now()
 	until := now.Add(-e.cfg.ReportLag)
+	e.sequence++
 	e.history = append(e.history, timedReport{at: now, report: e.current()})
 	for len(e.history) > 1 && !e.history[1].at.After(until) {
 		e.history = e.history[1:]
@@ -169,6 +194,8 @@
 		Waiting:      len(e.waiting),
 		QueuedTokens: e.tokens,
 		Fencing:      e.fencing,
+		Sequence:     e.sequence,
+		Carried:      slices.Clone(e.carried),
 		Role:         e.role,
 		Violations:   e.memory.violations,
 	}
--- a/internal/standin/modelengine/memory.go
+++ b/internal/standin/modelengine/memory.go
@@ -67,6 +67,25 @@
 
 func (m *memory) remove(o *engine.Order) { delete(m.entries, keyOf(o)) }
 
+// retire keeps the memory of weights that serve no more.
+func (m *memory) retire(o *engine.Order) {
+	key := keyOf(o)
+	e, ok := m.entries[key]
+	if !ok {
+		return
+	}
+	e.State = engine.Loading
+	e.OrderID = o.OrderID
+	m.entries[key] = e
+}
+
+// removeRetired frees the memory that o retired, unless it was freed before.
+func (m *memory) removeRetired(o *engine.Order) {
+	if m.entries[keyOf(o)].OrderID == o.OrderID {
+		m.remove(o)
+	}
+}
+
 func (m *memory) has(kind object.Kind, name, version string) bool {
 	e, ok := m.entries[entryKey{kind: kind, name: name, version: version}]
 	return ok && e.State == engine.Loaded
