--- a/internal/placement/adapters.go
+++ b/internal/placement/adapters.go
@@ -108,5 +108,5 @@
 		}
 		v.unload(e, c.entry.Weights, ReasonRoom)
 	}
-	e.coming -= a.MemoryBytes
+	e.free -= a.MemoryBytes
 }
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -113,7 +113,7 @@
 	}
 	found := &victims{engine: e}
 	if e.free < m.MemoryBytes {
-		found = v.victimsOn(e, m, defaultReplicas)
+		found = v.victimsOn(e, m, math.MaxInt)
 	}
 	if found == nil {
 		return nil
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -153,8 +153,10 @@
 		for _, m := range v.byUrgency() {
 			v.ensure(m, wanted)
 		}
+		if wanted == 1 {
+			v.roll()
+		}
 	}
-	v.roll()
 	v.loadAdapters()
 	if in.Settled {
 		p.balance(v)
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		if e.free+e.coming >= m.MemoryBytes {
-			e.coming -= m.MemoryBytes
+			e.free -= m.MemoryBytes
 			return
 		}
 		found := v.victimsOn(e, m, wanted)
@@ -101,7 +101,7 @@
 	for _, w := range best.weights {
 		v.unload(best.engine, w, ReasonRoom)
 	}
-	best.engine.coming -= m.MemoryBytes
+	best.engine.free -= m.MemoryBytes
 }
 
 // candidate is an entry that may be unloaded, with the load that it moves to
@@ -166,7 +166,7 @@
 	if other == nil {
 		return 0
 	}
-	if other == m || len(other.confirmed) <= keep || !slices.Contains(other.confirmed, e) {
+	if other == m || len(other.confirmed) <= min(keep, other.wanted()) || !slices.Contains(other.confirmed, e) {
 		return math.MaxFloat64
 	}
 	return other.share(len(other.replicas()))
@@ -237,7 +237,8 @@
 // dropOneOld unloads one old replica to make room for a new one.
 func (v *view) dropOneOld(m *modelView) {
 	for _, old := range slices.Clone(m.old) {
-		if old.engine.coming >= m.MemoryBytes {
+		if old.engine.free+old.engine.coming >= m.MemoryBytes {
+			old.engine.free -= m.MemoryBytes
 			return
 		}
 		if !old.engine.Ledger.Pinned(old.engine.Ledger.Find(old.weights)) {
--- a/internal/shardplan/schedule_test.go
+++ b/internal/shardplan/schedule_test.go
@@ -43,7 +43,9 @@
 		for range schedulesSteps {
 			w.step()
 		}
-		w.settle()
+		if m == whole {
+			w.settle()
+		}
 	}
 }
 
@@ -96,6 +98,7 @@
 		}
 	}
 	e.restart()
+	w.t.Logf("%s has restarted", e.address)
 }
 
 // settle ends all faults and leaves one planner. Late copies arrive and
