Give leaving targets no new work

Cause: nothing read the platform's list of VMs. The controller that owns a target now reads the list once a second and marks the target in the views it pushes to gateways; engines and plain services alike.

Ruled out: every gateway polling the list (42 KB/s a node at the size of the design against 9 KB/s).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"fireflypier.example/fireflypier/internal/adminapi"
 	"fireflypier.example/fireflypier/internal/adoption"
 	"fireflypier.example/fireflypier/internal/collector"
+	"fireflypier.example/fireflypier/internal/departure"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/feed"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
@@ -45,6 +46,7 @@
 	follower    *follower.Follower
 	membership  *membership.Membership
 	publisher   *feed.Publisher
+	departures  *departure.Departures
 	collector   *collector.Collector
 	planner     *planner.Planner
 	peers       *peer.Server
@@ -86,6 +88,7 @@
 		Objects: c.objects, Owns: c.owns, Interval: cfg.PlanInterval,
 		Clock: c.clock, Logger: c.logger,
 	})
+	c.departures = departure.New(c.platform, c.targets, c.publisher.SetLeaving, c.clock, c.logger)
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
@@ -163,6 +166,18 @@
 	return engines
 }
 
+// targets returns the targets whose departure this controller tells.
+func (c *Controller) targets() map[string]object.Target {
+	objects := c.objects()
+	targets := map[string]object.Target{}
+	for name, t := range objects.Targets {
+		if c.owns(t.Pool) {
+			targets[name] = t
+		}
+	}
+	return targets
+}
+
 func (c *Controller) status() any {
 	return struct {
 		Self     member.Member                  `json:"self"`
@@ -187,6 +202,7 @@
 	defer stop()
 	wg.Go(func() { c.follower.Run(background) })
 	wg.Go(func() { c.membership.Run(background) })
+	wg.Go(func() { c.departures.Run(background) })
 	wg.Go(func() { c.collector.Run(background) })
 	wg.Go(func() { c.planner.Run(background) })
 	wg.Go(func() { c.logError("peers", c.peers.Run(background)) })
--- a/internal/engineview/engineview.go
+++ b/internal/engineview/engineview.go
@@ -35,6 +35,8 @@
 	CreditTokens int64
 	// Reachable is false when the engine did not answer its controller.
 	Reachable bool
+	// Leaving is true when the target takes no new work.
+	Leaving bool
 	// Collected is the time of the report.
 	Collected time.Time
 	// BootID changes when the engine restarts.
@@ -73,6 +75,7 @@
 			QueuedTokens: view.GetQueuedTokens(),
 			CreditTokens: view.GetCreditTokens(),
 			Reachable:    view.GetReachable(),
+			Leaving:      view.GetLeaving(),
 			Collected:    time.UnixMilli(view.GetCollectedUnixMs()),
 			BootID:       view.GetBootId(),
 		}
@@ -98,7 +101,7 @@
 	defer v.mu.Unlock()
 	var holding []View
 	for _, view := range v.views {
-		if view.Reachable && view.holds(w) {
+		if view.Reachable && !view.Leaving && view.holds(w) {
 			holding = append(holding, view)
 		}
 	}
@@ -126,6 +129,14 @@
 	return false
 }
 
+// Leaving reports whether a target, engine or plain service, takes no new
+// work.
+func (v *Views) Leaving(target string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.views[target].Leaving
+}
+
 // Changed returns a channel that is closed at the next update.
 func (v *Views) Changed() <-chan struct{} {
 	v.mu.Lock()
--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
 )
@@ -17,6 +18,7 @@
 	mu       sync.Mutex
 	views    map[string]*versioned
 	version  int64
+	leaving  map[string]bool
 	changed  chan struct{}
 	watchers int
 }
@@ -35,12 +37,49 @@
 func (p *Publisher) Publish(view *feedpb.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	view.Leaving = p.leaving[view.GetTarget()]
+	p.replace(view)
+}
+
+// replace stores a view and tells every watcher. The mutex is held.
+func (p *Publisher) replace(view *feedpb.View) {
 	p.version++
 	p.views[view.GetTarget()] = &versioned{version: p.version, view: view}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// SetLeaving names the targets that take no new work; the views of targets
+// that begin or cease to leave are sent at once. A target without a view of
+// its own, such as a plain service, is given one.
+func (p *Publisher) SetLeaving(targets map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.leaving
+	p.leaving = targets
+	for target := range targets {
+		if !before[target] {
+			p.mark(target, true)
+		}
+	}
+	for target := range before {
+		if !targets[target] {
+			p.mark(target, false)
+		}
+	}
+}
+
+// mark replaces the view of a target by one that leaves or not. The mutex is
+// held.
+func (p *Publisher) mark(target string, leaving bool) {
+	view := &feedpb.View{Target: target}
+	if v, ok := p.views[target]; ok {
+		proto.Merge(view, v.view)
+	}
+	view.Leaving = leaving
+	p.replace(view)
+}
+
 // Remove forgets the view of an engine.
 func (p *Publisher) Remove(target string) {
 	p.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,7 +113,7 @@
 	limits := limiter.New(g.clock, 1)
 	g.adoption.OnChange(limits.SetCatalog)
 	plain := plainroute.New(plainroute.Parts{
-		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits,
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
 		WriteError: callerapi.WriteError,
 	})
--- a/internal/plainroute/plainroute.go
+++ b/internal/plainroute/plainroute.go
@@ -46,6 +46,8 @@
 	// Admission checks keys, Limiter charges.
 	Admission *admission.Admission
 	Limiter   *limiter.Limiter
+	// Leaving reports whether a target takes no new work.
+	Leaving func(target string) bool
 	// MaxBodyBytes and Timeout bound requests whose route names no bounds.
 	MaxBodyBytes int64
 	Timeout      time.Duration
@@ -118,9 +120,9 @@
 
 func (s *Routes) choose(route *catalog.Route) (object.Target, error) {
 	objects := &s.parts.Admission.Catalog().Snapshot().Objects
-	names := objects.PoolTargets(route.Pool)
+	names := slices.DeleteFunc(objects.PoolTargets(route.Pool), s.parts.Leaving)
 	if len(names) == 0 {
-		return object.Target{}, failure.New(failure.NoReplica, "pool %s has no targets", route.Pool)
+		return object.Target{}, failure.New(failure.NoReplica, "pool %s has no target that takes work", route.Pool)
 	}
 	return objects.Targets[names[s.next.Add(1)%uint64(len(names))]], nil
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,6 +37,10 @@
 	base    url.URL
 	http    *http.Client
 	timeout time.Duration
+
+	mu   sync.Mutex
+	vms  []vmlist.VM
+	etag string
 }
 
 // Option changes a Client under construction.
@@ -125,15 +130,6 @@
 	return err
 }
 
-// VMs implements vmlist.List.
-func (c *Client) VMs(ctx context.Context) ([]vmlist.VM, error) {
-	var answer struct {
-		VMs []vmlist.VM `json:"vms"`
-	}
-	err := c.read(ctx, "/vms", nil, &answer)
-	return answer.VMs, err
-}
-
 func (c *Client) read(ctx context.Context, path string, query url.Values, v any) error {
 	data, err := c.call(ctx, http.MethodGet, path, query, nil)
 	if err != nil {
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -42,6 +43,8 @@
 	fault Fault
 	vms   []vmlist.VM
 	lag   time.Duration
+	// listVersion changes with the VM list.
+	listVersion int
 }
 
 // New returns a platform with an empty store. The VM list shows a change only
@@ -154,13 +157,19 @@
 	answer(w, struct{}{}, err)
 }
 
-func (c *Cloud) serveVMs(w http.ResponseWriter, _ *http.Request) {
+func (c *Cloud) serveVMs(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	etag := strconv.Quote(strconv.Itoa(c.listVersion))
+	w.Header().Set("ETag", etag)
 	if c.fault.ListOutage {
 		answer(w, nil, failure.New(failure.StoreUnavailable, "the VM list is out"))
 		return
 	}
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	answer(w, struct {
 		VMs []vmlist.VM `json:"vms"`
 	}{c.vms}, nil)
@@ -209,6 +218,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.vms = body.VMs
+		c.listVersion++
 	})
 }
 
--- a/tests/path_test.go
+++ b/tests/path_test.go
@@ -49,6 +49,8 @@
 		Expect(a.status).To(Equal(http.StatusOK), a.body)
 		Expect(a.body).To(ContainSubstring(`"echo":"wristbands"`))
 		Expect(a.header.Get("X-Request-Id")).NotTo(BeEmpty())
+		a = send(ctx, http.MethodPost, gateway, "/print/order", circleKey, "x", http.Header{"X-Request-Id": {"order-7"}})
+		Expect(a.header.Get("X-Request-Id")).To(Equal("order-7"))
 		Expect(send(ctx, http.MethodGet, gateway, "/status/gate", "", "", nil).status).To(Equal(http.StatusOK))
 
 		By("refusing what is not allowed")
