Keep keys from travelling on

Cause: only a fixed list of headers was dropped, so a key in another header, a query, a path or a body reached targets and logs. A guard at the door knows the request's key: it deletes headers that hold it, refuses addresses, and stops bodies before the key's last byte. Targets learn the customer from a header that only the gateway sets.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -17,6 +17,7 @@
 	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/keyguard"
 	"fireflypier.example/fireflypier/internal/limiter"
 	"fireflypier.example/fireflypier/internal/object"
 	"fireflypier.example/fireflypier/internal/prefix"
@@ -89,7 +90,18 @@
 	router.RedirectTrailingSlash = false
 	router.RedirectFixedPath = false
 	router.HandleOPTIONS = false
-	return withRequestID(router)
+	return withoutKey(withRequestID(router))
+}
+
+// withoutKey keeps the key of each request from travelling on.
+func withoutKey(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := keyguard.New(r.Header.Get(headerAuthorization)).Protect(r); err != nil {
+			WriteError(w, err)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // withRequestID gives every answer the caller's request id, or a fresh one.
--- a/internal/callerapi/body.go
+++ b/internal/callerapi/body.go
@@ -41,6 +41,10 @@
 }
 
 func bodyError(err error) error {
+	var refused *failure.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", large.Limit)
--- a/internal/plainroute/plainroute.go
+++ b/internal/plainroute/plainroute.go
@@ -30,6 +30,10 @@
 	copyBufferBytes    = 32 << 10
 )
 
+// headerCustomer tells a target for which customer a request runs; it is
+// empty on open routes.
+const headerCustomer = "X-Customer"
+
 // droppedHeaders are never sent to a target: they carry keys or belong to
 // one connection.
 var droppedHeaders = []string{
@@ -101,6 +105,7 @@
 			return err
 		}
 	}
+	r.Header.Set(headerCustomer, ticket.Customer)
 	target, err := s.choose(&route)
 	if err != nil {
 		return err
