Leave without cutting a request

Cause: a gateway closed idle connections at the end of one time to live, while other gateways could still name it. It now leaves the entry answers, serves on for the notice and the time to live, asks callers to close their connections, and then shuts down.

Ruled out: Go's Shutdown at the signal; the test saw 'http: server closed idle connection'.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -41,12 +41,8 @@
 	RequestTimeout time.Duration
 	// DefaultMaxTokens bounds answers whose request names no bound.
 	DefaultMaxTokens int
-}
-
-// Entry answers which addresses a caller should use.
-type Entry interface {
-	// ServeEntry answers GET /v1/entry.
-	ServeEntry(w http.ResponseWriter, r *http.Request)
+	// EntryTTL is how long a caller keeps an entry answer.
+	EntryTTL time.Duration
 }
 
 // Parts are what the API stands on.
@@ -61,7 +57,7 @@
 	Dispatch  *dispatch.Dispatch
 	// Plain serves every path that is not the API's own.
 	Plain http.Handler
-	// Entry answers GET /v1/entry.
+	// Entry chooses the addresses of GET /v1/entry.
 	Entry Entry
 }
 
@@ -84,7 +80,7 @@
 	router.HandlerFunc(http.MethodPost, "/v1/chat/completions", api.serveChat)
 	router.HandlerFunc(http.MethodPost, "/v1/completions", api.serveCompletions)
 	router.HandlerFunc(http.MethodGet, "/v1/models", api.serveModels)
-	router.HandlerFunc(http.MethodGet, "/v1/entry", api.parts.Entry.ServeEntry)
+	router.HandlerFunc(http.MethodGet, "/v1/entry", api.serveEntry)
 	router.NotFound = http.HandlerFunc(api.serveOther)
 	router.MethodNotAllowed = http.HandlerFunc(serveMethodNotAllowed)
 	router.RedirectTrailingSlash = false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,56 +1,119 @@
-// Package entry tells callers which gateways to use.
+// Package entry tells callers which gateways to use: the nearest that are
+// fit to serve them, a customer's home gateways first.
 package entry
 
 import (
-	"math"
-	"net/http"
+	"cmp"
 	"net/netip"
 	"slices"
-	"time"
-
-	"github.com/go-json-experiment/json"
+	"sync"
 
 	"fireflypier.example/fireflypier/internal/member"
 )
 
-// Entry answers GET /v1/entry.
+// Entry chooses among the live gateways. Its methods may be called at the
+// same time.
 type Entry struct {
-	gateways   func() []member.Member
-	dataCentre string
-	ttl        time.Duration
+	mu        sync.Mutex
+	revision  int64
+	gateways  []member.Member
+	homes     map[string]map[string][]string
+	regions   map[string]string
+	rotations uint64
+}
+
+// New returns an entry that knows no gateway.
+func New() *Entry { return &Entry{} }
+
+// Update gives the entry the live gateways and the customers of a revision.
+// It works out the homes only when something changed; customers is called
+// only then.
+func (e *Entry) Update(gateways []member.Member, revision int64, customers func() []Customer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if revision == e.revision && slices.EqualFunc(gateways, e.gateways, sameGateway) {
+		return
+	}
+	e.revision = revision
+	e.gateways = gateways
+	e.homes = map[string]map[string][]string{}
+	e.regions = map[string]string{}
+	byDataCentre := map[string][]string{}
+	for _, g := range gateways {
+		byDataCentre[g.DataCentre] = append(byDataCentre[g.DataCentre], g.Name)
+		e.regions[g.DataCentre] = g.Region
+	}
+	all := customers()
+	for dataCentre, names := range byDataCentre {
+		e.homes[dataCentre] = assign(names, all)
+	}
+}
+
+func sameGateway(a, b member.Member) bool {
+	return a.Name == b.Name && a.DataCentre == b.DataCentre && a.Address == b.Address
 }
 
-// New returns an entry over the live gateways. Callers keep an answer for
-// ttl; gateways of the given data centre come first.
-func New(gateways func() []member.Member, dataCentre string, ttl time.Duration) *Entry {
-	return &Entry{gateways: gateways, dataCentre: dataCentre, ttl: ttl}
+// Homes returns the names of a customer's home gateways in a data centre.
+func (e *Entry) Homes(customer, dataCentre string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.homes[dataCentre][customer]
 }
 
-// ServeEntry answers with the addresses to use, best first.
-func (e *Entry) ServeEntry(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.MarshalWrite(w, struct {
-		Addresses  []netip.AddrPort `json:"addresses"`
-		TTLSeconds int              `json:"ttl_seconds"`
-	}{e.Addresses(), int(math.Ceil(e.ttl.Seconds()))})
+// ranked is a gateway with its place in an answer; lower is better.
+type ranked struct {
+	address  netip.AddrPort
+	distance int
+	rotation int
 }
 
-// Addresses returns the addresses to use, best first.
-func (e *Entry) Addresses() []netip.AddrPort {
-	members := e.gateways()
-	slices.SortStableFunc(members, func(a, b member.Member) int {
-		return e.distance(&a) - e.distance(&b)
+// Distances of a gateway from a caller.
+const (
+	homeInDataCentre = iota
+	homeInRegion
+	inDataCentre
+	inRegion
+	elsewhere
+)
+
+// Addresses returns the addresses that callers of a customer in a data
+// centre should use, best first. Equally good ones are rotated from call to
+// call. An empty customer has no homes.
+func (e *Entry) Addresses(customer, dataCentre string) []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rotations++
+	list := make([]ranked, 0, len(e.gateways))
+	for i, g := range e.gateways {
+		list = append(list, ranked{
+			address:  g.Address,
+			distance: e.distance(&g, customer, dataCentre),
+			rotation: (i + int(e.rotations)) % len(e.gateways),
+		})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.rotation, b.rotation))
 	})
-	addresses := make([]netip.AddrPort, 0, len(members))
-	for _, m := range members {
-		addresses = append(addresses, m.Address)
+	addresses := make([]netip.AddrPort, len(list))
+	for i, r := range list {
+		addresses[i] = r.address
 	}
 	return addresses
 }
 
-func (e *Entry) distance(m *member.Member) int {
-	if m.DataCentre == e.dataCentre {
-		return 0
+func (e *Entry) distance(g *member.Member, customer, dataCentre string) int {
+	home := slices.Contains(e.homes[g.DataCentre][customer], g.Name)
+	near := g.DataCentre == dataCentre
+	region := g.Region == e.regions[dataCentre]
+	switch {
+	case home && near:
+		return homeInDataCentre
+	case home && region:
+		return homeInRegion
+	case near:
+		return inDataCentre
+	case region:
+		return inRegion
 	}
-	return 1
+	return elsewhere
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -21,7 +23,6 @@
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
-	"fireflypier.example/fireflypier/internal/entry"
 	"fireflypier.example/fireflypier/internal/feed"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
 	"fireflypier.example/fireflypier/internal/follower"
@@ -49,6 +50,8 @@
 	follower   *follower.Follower
 	membership *membership.Membership
 	views      *engineview.Views
+	entry      *entryPoint
+	leaving    atomic.Bool
 	subscriber *feed.Subscriber
 	peers      *peer.Server
 	dialer     *peer.Dialer
@@ -82,10 +85,11 @@
 	g.platform = platform.New(cfg.Platform)
 	g.adoption = adoption.New(g.clock, cfg.FreshnessBound)
 	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
+	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
+	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
 	g.subscriber = feed.NewSubscriber(cfg.Name, g.dialer, g.controllers, g.deliver, g.clock, g.logger)
 	return g, nil
 }
@@ -97,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	handler := metrics.NewGateway(registry).Wrap(g.callerAPI().Handler(), g.clock)
+	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
 	g.callers, err = listener.Listen(g.cfg.Listen, handler,
 		listener.WithHeaderLimits(g.cfg.MaxHeaderBytes, g.cfg.HeaderTimeout),
 		listener.WithMaxConnections(g.cfg.MaxConnections))
@@ -125,17 +129,16 @@
 			BodyTimeout:      g.cfg.BodyTimeout,
 			RequestTimeout:   g.cfg.RequestTimeout,
 			DefaultMaxTokens: g.cfg.DefaultMaxTokens,
+			EntryTTL:         g.cfg.EntryTTL,
 		},
 		Admission: admit,
 		Limiter:   limits,
 		Dispatch:  dispatch.New(engine.NewClient(), schedule.New(g.views), g.logger),
 		Plain:     plain,
-		Entry:     entry.New(g.gateways, g.cfg.DataCentre, g.cfg.EntryTTL),
+		Entry:     g.entry,
 	})
 }
 
-func (g *Gateway) gateways() []member.Member { return g.membership.Live(member.Gateway) }
-
 func (g *Gateway) self() member.Member {
 	return member.Member{
 		Name:        g.cfg.Name,
@@ -197,20 +200,38 @@
 	}
 }
 
-// leave drains the gateway.
+// leaveNotice is the time within which every gateway has left this one out of
+// its entry answers.
+const leaveNotice = 4 * time.Second
+
+// leave drains the gateway. Once the others have left it out of their entry
+// answers and the last of those answers has run out, callers that obey the
+// time to live begin nothing new here, and the listener can close.
 func (g *Gateway) leave(ctx context.Context) error {
 	g.logger.Info("gateway leaves")
-	ctx, cancel := context.WithTimeout(ctx, g.cfg.EntryTTL+g.cfg.DrainTimeout)
+	ctx, cancel := context.WithTimeout(ctx, leaveNotice+g.cfg.EntryTTL+g.cfg.DrainTimeout)
 	defer cancel()
+	g.leaving.Store(true)
 	if err := g.membership.Leave(ctx); err != nil {
 		g.logger.Warn("leaving not recorded", "error", err)
 	}
-	g.sleep(ctx, g.cfg.EntryTTL)
+	g.sleep(ctx, leaveNotice+g.cfg.EntryTTL)
 	err := g.callers.Shutdown(ctx)
 	g.logError("admin", g.admin.Shutdown(ctx))
 	return errors.Wrap(err, "drain gateway")
 }
 
+// closeWhenLeaving asks callers to close their connections after each answer
+// while the gateway leaves.
+func (g *Gateway) closeWhenLeaving(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
 	timer := g.clock.NewTimer(d)
 	defer timer.Stop()
