Answer slow headers, too many connections and bad input clearly

Cause: net/http closes a connection whose header is late without an answer, and a limit on accepting makes callers wait in the backlog. The listener now answers 408 and 503 with the error object of the API. Models may bound a request's tokens, and the check of a set compares customers' bursts with it.

Seen on the way: the wrapped connection hid CloseWrite, so a refused long header was reset before its 431 was read; CloseWrite is passed on.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -264,7 +264,7 @@
 	if s.chat {
 		prompt = body.Messages
 	}
-	return &request.Request{
+	req := &request.Request{
 		ID:        r.Header.Get(headerRequestID),
 		Ticket:    ticket,
 		Weights:   weights,
@@ -275,7 +275,11 @@
 		MaxTokens: maxTokens,
 		Arrival:   arrival,
 		Deadline:  arrival.Add(api.limits.RequestTimeout),
-	}, nil
+	}
+	if limit := weights.MaxRequestTokens; limit > 0 && req.Cost() > float64(limit) {
+		return nil, failure.New(failure.BadRequest, "prompt and max_tokens make %.0f tokens, the model takes %d", req.Cost(), limit)
+	}
+	return req, nil
 }
 
 func classOf(header string, byDefault object.Class) (object.Class, error) {
--- a/internal/callerapi/errors.go
+++ b/internal/callerapi/errors.go
@@ -40,5 +40,17 @@
 	}{bodyOf(e)})
 }
 
+// RawError returns the status and the JSON body of the answer for e, for a
+// listener that answers without a handler.
+func RawError(e *failure.Error) (status int, body []byte) {
+	body, err := json.Marshal(struct {
+		Error errorBody `json:"error"`
+	}{bodyOf(e)})
+	if err != nil {
+		return http.StatusInternalServerError, nil
+	}
+	return e.Answer().Status, body
+}
+
 // retrySeconds rounds up, so that a caller who obeys is not refused again.
 func retrySeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -45,6 +45,8 @@
 	Adapter string
 	// Pool names the model's pool.
 	Pool string
+	// MaxRequestTokens bounds one request; zero means no bound.
+	MaxRequestTokens int
 	// Customers lists who may use it; empty means every customer.
 	Customers []string
 }
@@ -76,7 +78,7 @@
 
 func (c *Catalog) indexModels() {
 	for name, m := range c.snapshot.Objects.Models {
-		c.byName[name] = Weights{Model: name, Version: m.Version, Pool: m.Pool, Customers: m.Customers}
+		c.byName[name] = Weights{Model: name, Version: m.Version, Pool: m.Pool, MaxRequestTokens: m.MaxRequestTokens, Customers: m.Customers}
 	}
 	for name, a := range c.snapshot.Objects.Adapters {
 		m := c.snapshot.Objects.Models[a.Model]
@@ -84,7 +86,7 @@
 		if len(customers) == 0 {
 			customers = m.Customers
 		}
-		c.byName[name] = Weights{Model: a.Model, Version: m.Version, Adapter: name, Pool: m.Pool, Customers: customers}
+		c.byName[name] = Weights{Model: a.Model, Version: m.Version, Adapter: name, Pool: m.Pool, MaxRequestTokens: m.MaxRequestTokens, Customers: customers}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
+	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/feed"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
 	"fireflypier.example/fireflypier/internal/follower"
@@ -102,9 +103,12 @@
 		return err
 	}
 	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
+	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
+	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
 	g.callers, err = listener.Listen(g.cfg.Listen, handler,
 		listener.WithHeaderLimits(g.cfg.MaxHeaderBytes, g.cfg.HeaderTimeout),
-		listener.WithMaxConnections(g.cfg.MaxConnections))
+		listener.WithMaxConnections(g.cfg.MaxConnections, fullStatus, fullBody),
+		listener.WithSlowHeaderAnswer(slowStatus, slowBody))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/listener/limit.go
@@ -0,0 +1,106 @@
+package listener
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// refusalTimeout bounds the time spent on a refused connection.
+	refusalTimeout = time.Second
+	// maxRefusals bounds the connections that are being refused; more are
+	// closed without an answer.
+	maxRefusals = 256
+)
+
+// limitListener accepts at most limit connections at once; more are answered
+// with a refusal and closed.
+type limitListener struct {
+	net.Listener
+	limit   int64
+	refusal []byte
+
+	open     atomic.Int64
+	refusing atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &limitedConn{Conn: conn, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		if l.refusing.Add(1) > maxRefusals {
+			l.refusing.Add(-1)
+			_ = conn.Close()
+			continue
+		}
+		go l.refuse(conn)
+	}
+}
+
+func (l *limitListener) refuse(conn net.Conn) {
+	defer l.refusing.Add(-1)
+	answerAndClose(conn, l.refusal)
+}
+
+// answerAndClose writes an answer and reads what the peer still sends, so
+// that the answer is not lost to a reset.
+func answerAndClose(conn net.Conn, answer []byte) {
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(refusalTimeout))
+	if _, err := conn.Write(answer); err != nil {
+		return
+	}
+	_ = closeWrite(conn)
+	discard(conn)
+}
+
+func discard(conn net.Conn) {
+	buffer := make([]byte, 4<<10)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// limitedConn counts its end once.
+type limitedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing half of a TCP connection.
+func (c *limitedConn) CloseWrite() error { return closeWrite(c.Conn) }
+
+// closeWrite closes the writing half of a connection that has one.
+func closeWrite(conn net.Conn) error {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// rawAnswer returns a whole HTTP answer with a JSON body.
+func rawAnswer(status int, body []byte) []byte {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+		status, http.StatusText(status), len(body))
+	return append([]byte(head), body...)
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 )
 
 // Listener is an HTTP server on one address.
@@ -37,9 +36,22 @@
 	}
 }
 
-// WithMaxConnections bounds the connections; more wait to be accepted.
-func WithMaxConnections(n int) Option {
-	return func(l *Listener) { l.listener = netutil.LimitListener(l.listener, n) }
+// WithMaxConnections bounds the connections; more are answered with the given
+// status and JSON body, and closed.
+func WithMaxConnections(n int, status int, body []byte) Option {
+	return func(l *Listener) {
+		l.listener = &limitListener{Listener: l.listener, limit: int64(n), refusal: rawAnswer(status, body)}
+	}
+}
+
+// WithSlowHeaderAnswer answers connections whose request header does not
+// arrive in time with the given status and JSON body.
+func WithSlowHeaderAnswer(status int, body []byte) Option {
+	return func(l *Listener) {
+		l.listener = &slowListener{Listener: l.listener, answer: rawAnswer(status, body)}
+		l.server.ConnContext = keepConn
+		l.server.Handler = markServing(l.server.Handler)
+	}
 }
 
 // Listen returns a listener on addr that serves h once Run is called.
--- a/internal/object/check.go
+++ b/internal/object/check.go
@@ -83,8 +83,8 @@
 		if m.MemoryBytes <= 0 {
 			c.add(KindModel, name, "memory_bytes must be above zero")
 		}
-		if m.Replicas < 0 {
-			c.add(KindModel, name, "replicas must not be negative")
+		if m.Replicas < 0 || m.MaxRequestTokens < 0 {
+			c.add(KindModel, name, "replicas and max_request_tokens must not be negative")
 		}
 		if m.Version == "" {
 			c.add(KindModel, name, "version is missing")
@@ -164,6 +164,7 @@
 		if !(r.BurstTokens > 0) {
 			c.add(KindRate, name, "burst_tokens must be above zero")
 		}
+		c.checkLargestRequest(name, r)
 		for _, routeName := range sorted(c.set.Routes) {
 			if cost := c.set.Routes[routeName].CostTokens; cost > r.BurstTokens {
 				c.add(KindRate, name, "burst_tokens %g is below cost_tokens %g of route/%s", r.BurstTokens, cost, routeName)
@@ -172,6 +173,24 @@
 	}
 }
 
+// checkLargestRequest compares a rate's burst with the largest requests that
+// its customers may send.
+func (c *checker) checkLargestRequest(name string, r Rate) {
+	for _, modelName := range sorted(c.set.Models) {
+		m := c.set.Models[modelName]
+		if float64(m.MaxRequestTokens) <= r.BurstTokens {
+			continue
+		}
+		for _, customer := range sorted(c.set.Customers) {
+			mayUse := len(m.Customers) == 0 || slices.Contains(m.Customers, customer)
+			if mayUse && c.set.Customers[customer].Rate == name {
+				c.add(KindRate, name, "burst_tokens %g is below max_request_tokens %d of model/%s, which customer/%s may use",
+					r.BurstTokens, m.MaxRequestTokens, modelName, customer)
+			}
+		}
+	}
+}
+
 func (c *checker) checkRoutes() {
 	prefixes := map[string]string{}
 	for _, name := range sorted(c.set.Routes) {
--- a/internal/object/object.go
+++ b/internal/object/object.go
@@ -44,6 +44,9 @@
 	// Replicas is the number of replicas wanted at least; zero means two
 	// where memory allows.
 	Replicas int `json:"replicas,omitzero"`
+	// MaxRequestTokens bounds prompt and answer of one request together;
+	// zero means no bound but the customer's burst.
+	MaxRequestTokens int `json:"max_request_tokens,omitzero"`
 	// Customers lists who may use the model; empty means every customer.
 	Customers []string `json:"customers,omitzero"`
 }
