--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -81,6 +81,20 @@
 	return data, errors.Wrap(err, "encode document")
 }
 
+// Marshal writes v as compact JSON with sorted names, for messages and stored
+// objects. Durations are strings such as "1.5s".
+func Marshal(v any) ([]byte, error) {
+	data, err := json.Marshal(v, json.Deterministic(true), Durations())
+	return data, errors.Wrap(err, "encode message")
+}
+
+// Unmarshal reads what Marshal wrote into v; unknown names are passed over,
+// so that processes of different versions understand one another.
+func Unmarshal(data []byte, v any) error {
+	err := json.Unmarshal(data, v, json.WithUnmarshalers(json.UnmarshalFromFunc(unmarshalDuration)))
+	return errors.Wrap(err, "decode message")
+}
+
 // Durations returns the option under which durations are written as strings
 // such as "1.5s".
 func Durations() json.Options {
--- a/internal/operatorclient/operatorclient.go
+++ b/internal/operatorclient/operatorclient.go
@@ -14,6 +14,7 @@
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/pkg/errors"
 
+	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/revision"
 )
@@ -54,7 +55,7 @@
 
 // Apply publishes an edit. An edit with an id may be repeated.
 func (c *Client) Apply(ctx context.Context, e *revision.Edit) (*Applied, error) {
-	body, err := json.Marshal(e)
+	body, err := document.Marshal(e)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode edit")
 	}
@@ -111,7 +112,7 @@
 	if answer.StatusCode >= http.StatusBadRequest {
 		return refusal(answer.StatusCode, data)
 	}
-	return errors.Wrap(json.Unmarshal(data, v), "decode the controller's answer")
+	return errors.Wrap(document.Unmarshal(data, v), "decode the controller's answer")
 }
 
 // refusal turns an error body back into a failure.
--- a/internal/publication/publication.go
+++ b/internal/publication/publication.go
@@ -10,6 +10,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/jonboulle/clockwork"
 
+	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/objectstore"
 	"fireflypier.example/fireflypier/internal/revision"
@@ -82,7 +83,7 @@
 		return nil, err
 	}
 	s := revision.Empty()
-	if err := json.Unmarshal(data, s); err != nil {
+	if err := document.Unmarshal(data, s); err != nil {
 		return nil, failure.Wrap(failure.Internal, err, "decode snapshot %s", key)
 	}
 	if s.Digest() != digest {
@@ -133,7 +134,7 @@
 func (p *Publication) swap(ctx context.Context, head Head, next *revision.Snapshot) error {
 	digest := next.Digest()
 	key := fmt.Sprintf("config/%d-%s", next.Revision, digest)
-	data, err := json.Marshal(next, json.Deterministic(true))
+	data, err := document.Marshal(next)
 	if err != nil {
 		return failure.Wrap(failure.Internal, err, "encode snapshot")
 	}
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -12,8 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/go-json-experiment/json"
-
+	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/object"
 )
@@ -130,7 +129,7 @@
 
 // Digest returns the hexadecimal SHA-256 of the snapshot's canonical form.
 func (s *Snapshot) Digest() string {
-	data, err := json.Marshal(s, json.Deterministic(true))
+	data, err := document.Marshal(s)
 	if err != nil {
 		panic(fmt.Sprintf("revision: a snapshot always encodes: %v", err))
 	}
