--- a/tests/suite_test.go
+++ b/tests/suite_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,11 +27,30 @@
 	RunSpecs(t, "integration")
 }
 
+// programsDir is removed at the end of the tests.
+var programsDir string
+
+// builtPrograms builds the programs once for all tests.
+var builtPrograms = sync.OnceValues(func() (fleet.Programs, error) {
+	return fleet.Build(context.Background(), programsDir)
+})
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	var err error
+	programsDir, err = os.MkdirTemp("", "fireflypier-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(programsDir) }()
+	return m.Run()
+}
+
 var _ = BeforeSuite(func() {
-	dir, err := os.MkdirTemp("", "fireflypier-programs-")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(os.RemoveAll, dir)
-	programs, err = fleet.Build(context.Background(), dir)
+	var err error
+	programs, err = builtPrograms()
 	Expect(err).NotTo(HaveOccurred())
 })
 
