--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -17,6 +17,7 @@
 	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/keyguard"
 	"fireflypier.example/fireflypier/internal/limiter"
 	"fireflypier.example/fireflypier/internal/object"
 	"fireflypier.example/fireflypier/internal/prefix"
@@ -40,12 +41,8 @@
 	RequestTimeout time.Duration
 	// DefaultMaxTokens bounds answers whose request names no bound.
 	DefaultMaxTokens int
-}
-
-// Entry answers which addresses a caller should use.
-type Entry interface {
-	// ServeEntry answers GET /v1/entry.
-	ServeEntry(w http.ResponseWriter, r *http.Request)
+	// EntryTTL is how long a caller keeps an entry answer.
+	EntryTTL time.Duration
 }
 
 // Parts are what the API stands on.
@@ -60,7 +57,7 @@
 	Dispatch  *dispatch.Dispatch
 	// Plain serves every path that is not the API's own.
 	Plain http.Handler
-	// Entry answers GET /v1/entry.
+	// Entry chooses the addresses of GET /v1/entry.
 	Entry Entry
 }
 
@@ -83,13 +80,24 @@
 	router.HandlerFunc(http.MethodPost, "/v1/chat/completions", api.serveChat)
 	router.HandlerFunc(http.MethodPost, "/v1/completions", api.serveCompletions)
 	router.HandlerFunc(http.MethodGet, "/v1/models", api.serveModels)
-	router.HandlerFunc(http.MethodGet, "/v1/entry", api.parts.Entry.ServeEntry)
+	router.HandlerFunc(http.MethodGet, "/v1/entry", api.serveEntry)
 	router.NotFound = http.HandlerFunc(api.serveOther)
 	router.MethodNotAllowed = http.HandlerFunc(serveMethodNotAllowed)
 	router.RedirectTrailingSlash = false
 	router.RedirectFixedPath = false
 	router.HandleOPTIONS = false
-	return withRequestID(router)
+	return withoutKey(withRequestID(router))
+}
+
+// withoutKey keeps the key of each request from travelling on.
+func withoutKey(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := keyguard.New(r.Header.Get(headerAuthorization)).Protect(r); err != nil {
+			WriteError(w, err)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // withRequestID gives every answer the caller's request id, or a fresh one.
@@ -256,7 +264,7 @@
 	if s.chat {
 		prompt = body.Messages
 	}
-	return &request.Request{
+	req := &request.Request{
 		ID:        r.Header.Get(headerRequestID),
 		Ticket:    ticket,
 		Weights:   weights,
@@ -267,7 +275,11 @@
 		MaxTokens: maxTokens,
 		Arrival:   arrival,
 		Deadline:  arrival.Add(api.limits.RequestTimeout),
-	}, nil
+	}
+	if limit := weights.MaxRequestTokens; limit > 0 && req.Cost() > float64(limit) {
+		return nil, failure.New(failure.BadRequest, "prompt and max_tokens make %.0f tokens, the model takes %d", req.Cost(), limit)
+	}
+	return req, nil
 }
 
 func classOf(header string, byDefault object.Class) (object.Class, error) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"fireflypier.example/fireflypier/internal/adminapi"
 	"fireflypier.example/fireflypier/internal/adoption"
 	"fireflypier.example/fireflypier/internal/collector"
+	"fireflypier.example/fireflypier/internal/departure"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/feed"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
@@ -31,6 +32,7 @@
 	"fireflypier.example/fireflypier/internal/rendezvous"
 	"fireflypier.example/fireflypier/internal/revision"
 	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/shardplan"
 )
 
 // Controller is one controller process.
@@ -45,11 +47,13 @@
 	follower    *follower.Follower
 	membership  *membership.Membership
 	publisher   *feed.Publisher
+	departures  *departure.Departures
 	collector   *collector.Collector
 	planner     *planner.Planner
 	peers       *peer.Server
 	operators   *listener.Listener
 	admin       *listener.Listener
+	registry    *prometheus.Registry
 	done        chan struct{}
 }
 
@@ -69,6 +73,7 @@
 		clock:     clockwork.NewRealClock(),
 		logger:    hclog.NewNullLogger(),
 		publisher: feed.NewPublisher(),
+		registry:  prometheus.NewRegistry(),
 		done:      make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -82,10 +87,13 @@
 	engines := engine.NewClient()
 	c.collector = collector.New(engines, c.publisher, c.engines, cfg.CollectInterval, c.clock, c.logger)
 	c.planner = planner.New(planner.Parts{
+		Name: cfg.Name, Incarnation: c.membership.Self().Incarnation,
 		Table: c.platform, Engines: engines, Reports: c.collector.Reports,
-		Objects: c.objects, Owns: c.owns, Interval: cfg.PlanInterval,
-		Clock: c.clock, Logger: c.logger,
+		Objects: c.objects, Controllers: c.controllers, Interval: cfg.PlanInterval,
+		Clock: c.clock, Logger: c.logger, Metrics: planner.NewMetrics(c.registry),
 	})
+	c.publisher.OnDemand(c.planner.DemandReport)
+	c.departures = departure.New(c.platform, c.targets, c.publisher.SetLeaving, c.clock, c.logger)
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
@@ -109,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	c.admin, err = listener.Listen(c.cfg.AdminListen, adminapi.New(prometheus.NewRegistry(), c.ready, c.status).Handler())
+	c.admin, err = listener.Listen(c.cfg.AdminListen, adminapi.New(c.registry, c.ready, c.status).Handler())
 	return err
 }
 
@@ -144,23 +152,31 @@
 // owns reports whether this controller is the first choice for a pool among
 // the live controllers.
 func (c *Controller) owns(pool string) bool {
+	return rendezvous.First(pool, c.controllers()) == c.cfg.Name
+}
+
+// engines returns the engines whose reports this controller collects.
+func (c *Controller) engines() map[string]object.Target { return c.planner.Targets() }
+
+// controllers returns the names of the live controllers.
+func (c *Controller) controllers() []string {
 	var names []string
 	for _, m := range c.membership.Live(member.Controller) {
 		names = append(names, m.Name)
 	}
-	return rendezvous.First(pool, names) == c.cfg.Name
+	return names
 }
 
-// engines returns the engines whose reports this controller collects.
-func (c *Controller) engines() map[string]object.Target {
+// targets returns the targets whose departure this controller tells.
+func (c *Controller) targets() map[string]object.Target {
 	objects := c.objects()
-	engines := map[string]object.Target{}
+	targets := map[string]object.Target{}
 	for name, t := range objects.Targets {
-		if objects.Pools[t.Pool].Kind == object.PoolEngines && c.owns(t.Pool) {
-			engines[name] = t
+		if c.owns(t.Pool) {
+			targets[name] = t
 		}
 	}
-	return engines
+	return targets
 }
 
 func (c *Controller) status() any {
@@ -168,8 +184,9 @@
 		Self     member.Member                  `json:"self"`
 		Revision int64                          `json:"revision"`
 		Members  []member.Member                `json:"members"`
+		Shards   []shardplan.Status             `json:"shards"`
 		Engines  map[string]collector.Collected `json:"engines"`
-	}{c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(), c.collector.Reports()}
+	}{c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(), c.planner.Status(), c.collector.Reports()}
 }
 
 // Addr returns the address on which operators are served.
@@ -187,6 +204,7 @@
 	defer stop()
 	wg.Go(func() { c.follower.Run(background) })
 	wg.Go(func() { c.membership.Run(background) })
+	wg.Go(func() { c.departures.Run(background) })
 	wg.Go(func() { c.collector.Run(background) })
 	wg.Go(func() { c.planner.Run(background) })
 	wg.Go(func() { c.logError("peers", c.peers.Run(background)) })
--- a/internal/shardplan/shardplan.go
+++ b/internal/shardplan/shardplan.go
@@ -342,12 +342,34 @@
 		p.Abandon(s)
 		return
 	}
+	p.forgetReasons()
 	for _, part := range s.Parts {
 		part.Orders = part.ledger.Written(version)
 		part.engine.dirty = false
 	}
 }
 
+// maxReasons bounds the reasons kept for orders that have ended.
+const maxReasons = 4096
+
+// forgetReasons drops the reasons of orders that no ledger names.
+func (p *Plan) forgetReasons() {
+	if len(p.reasons) < maxReasons {
+		return
+	}
+	kept := map[string]string{}
+	for _, e := range p.engines {
+		if e.ledger == nil {
+			continue
+		}
+		for i := range e.ledger.Entries {
+			id := e.ledger.Entries[i].OrderID
+			kept[id] = p.reasons[id]
+		}
+	}
+	p.reasons = kept
+}
+
 // Finished records how the orders of a part ended: the ids of those whose
 // answer closes them. The rest may still take effect.
 func (p *Plan) Finished(part *Part, closed []string) {
