--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,11 +97,14 @@
 }
 
 func (f *Fleet) standin(ctx context.Context, name, kind string, config any, args ...string) (*Standin, error) {
+	return f.standinAt(ctx, FreeAddr(), name, kind, config, args...)
+}
+
+func (f *Fleet) standinAt(ctx context.Context, addr netip.AddrPort, name, kind string, config any, args ...string) (*Standin, error) {
 	configFile, err := f.write(name+".json", config)
 	if err != nil {
 		return nil, err
 	}
-	addr := FreeAddr()
 	args = append([]string{kind, "--config", configFile, "--listen", addr.String()}, args...)
 	args = append(args, "--port-out", filepath.Join(f.dir, name+".addr"))
 	p, err := f.run(name, f.programs.Standin, args...)
@@ -134,6 +137,12 @@
 	return f.standin(ctx, name, "engine", config, "--weights", f.platformAddr().String())
 }
 
+// RestartEngine starts a new life of a stand-in engine at an address whose
+// former process has ended.
+func (f *Fleet) RestartEngine(ctx context.Context, name string, addr netip.AddrPort, config any) (*Standin, error) {
+	return f.standinAt(ctx, addr, name, "engine", config, "--weights", f.platformAddr().String())
+}
+
 // StartService starts a stand-in plain service.
 func (f *Fleet) StartService(ctx context.Context, name string) (*Standin, error) {
 	return f.standin(ctx, name, "service", struct{}{})
--- a/internal/shardplan/world_test.go
+++ b/internal/shardplan/world_test.go
@@ -137,7 +137,7 @@
 	w := &world{
 		t: t, mutation: m, now: time.Unix(1_000_000, 0), store: tablestore.New(),
 		lostByRestart: map[string]bool{}, removed: map[string]bool{},
-		objects:       (&object.Set{Pools: map[string]object.Pool{"p": {Kind: object.PoolEngines}}}).Clone(),
+		objects: (&object.Set{Pools: map[string]object.Pool{"p": {Kind: object.PoolEngines}}}).Clone(),
 	}
 	kind := rapid.IntRange(0, 2).Draw(t, "engine kinds")
 	for i := range 4 {
--- /dev/null
+++ b/tests/engine_fleet_test.go
@@ -0,0 +1,271 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/document"
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/ledger"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/operatorclient"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/shardplan"
+	"fireflypier.example/fireflypier/internal/standin/cloud"
+	"fireflypier.example/fireflypier/internal/standin/modelengine"
+	"fireflypier.example/fireflypier/internal/table"
+)
+
+// engineFleet is a platform, engines and controllers with several models.
+type engineFleet struct {
+	*fleet.Fleet
+	platform    *fleet.Standin
+	configs     []modelengine.Config
+	engines     []*fleet.Standin
+	controllers []*fleet.Node
+	set         object.Set
+
+	mu         sync.Mutex
+	overcommit []string
+}
+
+const (
+	engineMemory = 20 * gib
+	loadTime     = 50 * time.Millisecond
+)
+
+// startEngineFleet starts engines, of which checks tells who checks fencing
+// numbers, one controller, and applies a set of models of five GiB each.
+func startEngineFleet(ctx context.Context, models int, checks ...bool) *engineFleet {
+	f := &engineFleet{Fleet: newFleet()}
+	var err error
+	f.platform, err = f.StartPlatform(ctx, struct {
+		Weights cloud.WeightConfig `json:"weights"`
+	}{cloud.WeightConfig{LoadTime: loadTime, AdapterLoadTime: 5 * time.Millisecond}})
+	Expect(err).NotTo(HaveOccurred())
+	f.set = *(&object.Set{Pools: map[string]object.Pool{"engines": {Kind: object.PoolEngines}}}).Clone()
+	for i, checksFencing := range checks {
+		f.startEngine(ctx, i, checksFencing)
+	}
+	for i := range models {
+		f.set.Models[fmt.Sprintf("model-%d", i)] = object.Model{Pool: "engines", Version: "1", MemoryBytes: 5 * gib}
+	}
+	f.set.Customers["circle"] = object.Customer{Rate: "large"}
+	f.set.Rates["large"] = object.Rate{TokensPerSecond: 1_000_000, BurstTokens: 1_000_000}
+	f.set.Keys["circle-1"] = keyObject("circle", circleKey)
+	f.watchMemory()
+	return f
+}
+
+func (f *engineFleet) startEngine(ctx context.Context, i int, checksFencing bool) {
+	cfg := modelengine.Config{
+		MemoryBytes: engineMemory, Concurrency: 16, MaxWaiting: 64, StepBase: time.Millisecond,
+		ReportLag: 150 * time.Millisecond, UnloadTime: 100 * time.Millisecond, ChecksFencing: checksFencing,
+	}
+	name := fmt.Sprintf("engine-%d", i)
+	e, err := f.StartEngine(ctx, name, cfg)
+	Expect(err).NotTo(HaveOccurred())
+	f.engines = append(f.engines, e)
+	f.configs = append(f.configs, cfg)
+	f.set.Targets[name] = object.Target{
+		Pool: "engines", Address: e.Addr, DataCentre: "dc-1", VM: "vm-" + name,
+		MemoryBytes: engineMemory, Concurrency: 16, ChecksFencing: checksFencing,
+	}
+}
+
+// startController starts one more controller; through is the platform's
+// address for it, if not its own.
+func (f *engineFleet) startController(ctx context.Context, through netip.AddrPort) *fleet.Node {
+	name := fmt.Sprintf("controller-%d", len(f.controllers))
+	c, err := f.StartController(ctx, name, func(cfg *settings.Controller) {
+		cfg.CollectInterval = 100 * time.Millisecond
+		cfg.PlanInterval = 100 * time.Millisecond
+		if through.IsValid() {
+			cfg.Platform = through
+		}
+	})
+	Expect(err).NotTo(HaveOccurred())
+	f.controllers = append(f.controllers, c)
+	return c
+}
+
+// apply publishes the whole set through a controller.
+func (f *engineFleet) apply(ctx context.Context, c *fleet.Node, deleted ...string) {
+	client := operatorclient.New([]netip.AddrPort{c.Addr}, fleet.OperatorToken)
+	Expect(fleet.Eventually(ctx, func() error {
+		current, err := client.Snapshot(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = client.Apply(ctx, &revision.Edit{ID: uuid.NewString(), BasedOn: current.Revision, Put: f.set, Delete: deleted})
+		return err
+	})).To(Succeed())
+}
+
+// report returns an engine's report; an engine that does not answer gives
+// nil.
+func report(ctx context.Context, addr netip.AddrPort) *engine.Report {
+	r, err := engine.NewClient().Report(ctx, addr, 0)
+	if err != nil {
+		return nil
+	}
+	return r
+}
+
+// watchMemory samples every engine's memory until the test ends, and then
+// asserts that it never held more than there is.
+func (f *engineFleet) watchMemory() {
+	ctx, stop := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			f.mu.Lock()
+			engines := slices.Clone(f.engines)
+			f.mu.Unlock()
+			for _, e := range engines {
+				f.sample(ctx, e)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	DeferCleanup(func() {
+		stop()
+		wg.Wait()
+		Expect(f.overcommit).To(BeEmpty())
+	})
+}
+
+func (f *engineFleet) sample(ctx context.Context, e *fleet.Standin) {
+	r := report(ctx, e.Addr)
+	if r != nil && (r.Violations > 0 || r.UsedBytes > r.MemoryBytes) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.overcommit = append(f.overcommit, fmt.Sprintf("%s holds %d of %d bytes, %d violations", e.Name, r.UsedBytes, r.MemoryBytes, r.Violations))
+	}
+}
+
+// setFault replaces the faults of a stand-in.
+func setFault(ctx context.Context, s *fleet.Standin, fault any) {
+	body, err := document.Encode(fault)
+	Expect(err).NotTo(HaveOccurred())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Addr.String()+"/standin/fault", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	answer, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Body.Close()).To(Succeed())
+	Expect(answer.StatusCode).To(Equal(http.StatusOK))
+}
+
+// served waits until each model of the set is loaded in its version on as
+// many engines as named.
+func (f *engineFleet) served(ctx context.Context, replicas int) {
+	GinkgoHelper()
+	Expect(fleet.Eventually(ctx, func() error {
+		for name, m := range f.set.Models {
+			if n := f.replicas(ctx, name, m.Version); n < replicas {
+				return fmt.Errorf("%s@%s has %d replicas: %s", name, m.Version, n, f.describe(ctx))
+			}
+		}
+		return nil
+	})).To(Succeed())
+}
+
+func (f *engineFleet) replicas(ctx context.Context, name, version string) int {
+	n := 0
+	for _, e := range f.engines {
+		if r := report(ctx, e.Addr); r != nil && holdsModel(r, name, version) {
+			n++
+		}
+	}
+	return n
+}
+
+func holdsModel(r *engine.Report, name, version string) bool {
+	for _, e := range r.Entries {
+		if e.Kind == object.KindModel && e.Name == name && (version == "" || e.Version == version) && e.State == engine.Loaded {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *engineFleet) describe(ctx context.Context) string {
+	var b strings.Builder
+	for _, e := range f.engines {
+		if r := report(ctx, e.Addr); r != nil {
+			fmt.Fprintf(&b, "\n%s: %d bytes %v", e.Name, r.UsedBytes, r.Entries)
+		}
+		fmt.Fprintf(&b, "\n%s ledger: %+v", e.Name, f.ledger(ctx, e).Entries)
+	}
+	return b.String()
+}
+
+// ledger returns an engine's ledger as the table has it.
+func (f *engineFleet) ledger(ctx context.Context, e *fleet.Standin) *ledger.Ledger {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.platform.Addr.String()+"/table/row?key="+ledger.RowKey(e.Addr), nil)
+	Expect(err).NotTo(HaveOccurred())
+	answer, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = answer.Body.Close() }()
+	var row table.Row
+	if answer.StatusCode == http.StatusOK {
+		Expect(json.UnmarshalRead(answer.Body, &row)).To(Succeed())
+	}
+	l, err := ledger.Decode(e.Addr, row)
+	Expect(err).NotTo(HaveOccurred())
+	return l
+}
+
+// recorded waits until an engine's ledger has an entry of a model in a state.
+func (f *engineFleet) recorded(ctx context.Context, name, version string, state ledger.State) {
+	GinkgoHelper()
+	Expect(fleet.Eventually(ctx, func() error {
+		for _, e := range f.engines {
+			for _, x := range f.ledger(ctx, e).Entries {
+				if x.Name == name && x.Version == version && x.State == state {
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("no entry of %s@%s is %s", name, version, state)
+	})).To(Succeed())
+}
+
+// plans waits until a controller plans a shard.
+func plans(ctx context.Context, c *fleet.Node) {
+	GinkgoHelper()
+	Expect(fleet.Eventually(ctx, func() error {
+		shards, err := shardsOf(ctx, c)
+		if err == nil && len(shards) == 0 {
+			err = fmt.Errorf("%s plans nothing", c.Name)
+		}
+		return err
+	})).To(Succeed())
+}
+
+// shardsOf returns the status of the shards that a controller plans.
+func shardsOf(ctx context.Context, c *fleet.Node) ([]shardplan.Status, error) {
+	raw, err := operatorclient.New([]netip.AddrPort{c.Addr}, fleet.OperatorToken).Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var status struct {
+		Shards []shardplan.Status `json:"shards"`
+	}
+	return status.Shards, json.Unmarshal(raw, &status)
+}
--- /dev/null
+++ b/tests/memory_test.go
@@ -0,0 +1,160 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/ledger"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/standin/modelengine"
+)
+
+// The table rows name the engines of a fleet by whether they check fencing
+// numbers.
+var _ = Describe("accelerator memory is never overcommitted", func() {
+	kinds := []TableEntry{
+		Entry("engines that check fencing numbers", true),
+		Entry("engines that ignore fencing numbers", false),
+	}
+
+	DescribeTable("while orders are lost, late and doubled and answers are lost", func(checks bool) {
+		ctx := testContext()
+		f := startEngineFleet(ctx, 5, checks, checks, checks)
+		setFault(ctx, f.engines[0], modelengine.Fault{DropOrders: 2})
+		setFault(ctx, f.engines[1], modelengine.Fault{OrderDelay: 700 * time.Millisecond})
+		setFault(ctx, f.engines[2], modelengine.Fault{LoseOrderAnswers: 2})
+		c := f.startController(ctx, netip.AddrPort{})
+		f.apply(ctx, c)
+		f.served(ctx, 1)
+
+		By("rolling versions and sizes while orders are late and doubled")
+		for i := range 3 {
+			setFault(ctx, f.engines[i], modelengine.Fault{OrderDelay: 300 * time.Millisecond})
+		}
+		f.grow("2", 6*gib)
+		f.apply(ctx, c)
+		f.recorded(ctx, "model-0", "2", ledger.Loading)
+		for _, e := range f.engines {
+			setFault(ctx, e, modelengine.Fault{})
+		}
+		if !checks {
+			f.restartAll(ctx)
+		}
+		f.served(ctx, 1)
+	}, kinds)
+
+	DescribeTable("when a planner freezes between record and order and thaws after its successor has acted", func(checks bool) {
+		ctx := testContext()
+		f := startEngineFleet(ctx, 4, checks, checks)
+		proxy, err := faultproxy.Start(f.platform.Addr)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+		first := f.startController(ctx, proxy.Addr())
+		f.apply(ctx, first)
+		f.served(ctx, 2)
+		plans(ctx, first)
+
+		By("freezing the planner while the answer to its record is under way")
+		f.set.Models["late"] = object.Model{Pool: "engines", Version: "1", MemoryBytes: 9 * gib}
+		delete(f.set.Models, "model-3")
+		proxy.SetFault(faultproxy.Fault{Delay: 500 * time.Millisecond})
+		f.apply(ctx, first, "model/model-3")
+		f.recorded(ctx, "late", "1", ledger.Loading)
+		Expect(first.Freeze()).To(Succeed())
+		proxy.SetFault(faultproxy.Fault{})
+
+		By("letting its successor act, with other sizes")
+		second := f.startController(ctx, netip.AddrPort{})
+		delete(f.set.Models, "late")
+		f.set.Models["other"] = object.Model{Pool: "engines", Version: "1", MemoryBytes: 8 * gib}
+		f.apply(ctx, second, "model/late")
+		plans(ctx, second)
+		f.served(ctx, 1)
+
+		By("thawing it")
+		Expect(first.Thaw()).To(Succeed())
+		if !checks {
+			f.restartAll(ctx)
+		}
+		f.served(ctx, 1)
+		Expect(first.Freeze()).To(Succeed())
+		Expect(first.Thaw()).To(Succeed())
+		f.served(ctx, 1)
+	}, kinds)
+
+	DescribeTable("when a planner is killed with orders under way, an engine restarts, and operators edit", func(checks bool) {
+		ctx := testContext()
+		f := startEngineFleet(ctx, 6, checks, checks, !checks)
+		first := f.startController(ctx, netip.AddrPort{})
+		f.apply(ctx, first)
+		f.served(ctx, 1)
+		plans(ctx, first)
+		second := f.startController(ctx, netip.AddrPort{})
+
+		By("killing the planner while its orders are late and doubled")
+		for _, e := range f.engines {
+			setFault(ctx, e, modelengine.Fault{OrderDelay: 2 * time.Second})
+		}
+		f.grow("2", 6*gib)
+		f.apply(ctx, first)
+		f.recorded(ctx, "model-0", "2", ledger.Loading)
+		first.Kill()
+
+		By("restarting an engine, lowering another's memory and naming the third anew")
+		f.restart(ctx, 0)
+		t := f.set.Targets["engine-1"]
+		t.MemoryBytes = 14 * gib
+		f.set.Targets["engine-1"] = t
+		f.set.Targets["engine-2-again"] = f.set.Targets["engine-2"]
+		delete(f.set.Targets, "engine-2")
+		f.apply(ctx, second, "target/engine-2")
+		plans(ctx, second)
+		for _, e := range f.engines {
+			setFault(ctx, e, modelengine.Fault{})
+		}
+		f.restartIgnoring(ctx)
+		f.served(ctx, 1)
+	}, kinds)
+})
+
+// grow gives every model another version and size.
+func (f *engineFleet) grow(version string, bytes int64) {
+	for name, m := range f.set.Models {
+		m.Version = version
+		m.MemoryBytes = bytes
+		f.set.Models[name] = m
+	}
+}
+
+// restart ends an engine's process and starts a new life at its address.
+func (f *engineFleet) restart(ctx context.Context, i int) {
+	e := f.engines[i]
+	e.Kill()
+	again, err := f.RestartEngine(ctx, fmt.Sprintf("%s-again-%d", e.Name, time.Now().UnixNano()), e.Addr, f.configs[i])
+	Expect(err).NotTo(HaveOccurred())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[i] = again
+}
+
+// restartAll restarts every engine, one after another: at engines that ignore
+// fencing numbers only a restart frees the bytes of orders without an answer.
+func (f *engineFleet) restartAll(ctx context.Context) {
+	for i := range f.engines {
+		f.restart(ctx, i)
+	}
+}
+
+func (f *engineFleet) restartIgnoring(ctx context.Context) {
+	for i := range f.engines {
+		if !f.configs[i].ChecksFencing {
+			f.restart(ctx, i)
+		}
+	}
+}
