--- /dev/null
+++ b/cmd/placement-trial/main.go
@@ -0,0 +1,50 @@
+// Command placement-trial compares placements in simulated time and prints a
+// table.
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"fireflypier.example/fireflypier/internal/placementtrial"
+)
+
+const exitUsage = 2
+
+type options struct {
+	Hours int     `long:"hours" description:"simulated hours" default:"4"`
+	Fill  float64 `long:"fill" description:"part of the memory that two replicas of every model take" default:"0.8"`
+	Seed  uint64  `long:"seed" description:"seed of the demand" default:"20261204"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer func() { _ = w.Flush() }()
+	fmt.Fprintln(w, "deployment\tplacement\tattained\tper accelerator and hour\tworst customer\tmoves\twaited\tp99 to first token")
+	for _, d := range placementtrial.Deployments(o.Fill) {
+		for _, row := range []struct {
+			name   string
+			placer placementtrial.Placer
+		}{
+			{"planned", placementtrial.NewPlanned()},
+			{"static", placementtrial.NewStatic()},
+			{"least recently used", placementtrial.NewRecent()},
+			{"greedy", placementtrial.NewGreedy()},
+		} {
+			r := placementtrial.Run(d, row.placer, time.Duration(o.Hours)*time.Hour, o.Seed)
+			fmt.Fprintf(w, "%s\t%s\t%.2f %%\t%.0f\t%.2f %%\t%d\t%d\t%s\n", d.Name, row.name,
+				100*float64(r.Attained)/float64(r.Requests), r.PerAccelerator, 100*r.Worst, r.Moves, r.Waited, r.P99.Round(time.Millisecond))
+		}
+	}
+}
--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"fireflypier.example/fireflypier/internal/ledger"
 	"fireflypier.example/fireflypier/internal/object"
@@ -113,7 +114,7 @@
 	}
 	found := &victims{engine: e}
 	if e.free < m.MemoryBytes {
-		found = v.victimsOn(e, m, math.MaxInt)
+		found = v.victimsOn(e, m, m.spares())
 	}
 	if found == nil {
 		return nil
@@ -121,6 +122,16 @@
 	return &move{model: m, victims: found, gain: v.gain(m, found)}
 }
 
+// spares returns the replicas that other models keep when one of m's is
+// added: as many as they want, or as m has, where memory is too small for two
+// of all.
+func (m *modelView) spares() int {
+	if len(m.confirmed) < m.wanted() {
+		return len(m.confirmed)
+	}
+	return math.MaxInt
+}
+
 // gain returns by how much the cost of the balance falls.
 func (v *view) gain(m *modelView, found *victims) float64 {
 	delta := map[*engineView]float64{}
@@ -166,8 +177,18 @@
 	if c.gain <= math.Nextafter(least, math.Inf(1)) {
 		return false
 	}
-	cooling := v.in.Now.Sub(p.moved[c.model.Name]) < p.coolDown
-	return !cooling || c.gain > urgentGain*least
+	return !p.isCooling(c, v.in.Now) || c.gain > urgentGain*least
+}
+
+// isCooling reports whether the model, or one that would leave for it, has
+// moved a short time ago.
+func (p *Placement) isCooling(c *move, now time.Time) bool {
+	if now.Sub(p.moved[c.model.Name]) < p.coolDown {
+		return true
+	}
+	return slices.ContainsFunc(c.victims.weights, func(w ledger.Weights) bool {
+		return now.Sub(p.moved[w.Name]) < p.coolDown
+	})
 }
 
 // carryOut begins a move. Where unloads under way will make the room, it
