--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -10,6 +10,7 @@
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"fireflypier.example/fireflypier/internal/document"
@@ -24,7 +25,9 @@
 
 // New returns the admin interface. ready returns nil when the process can
 // serve; dump returns its state, which must hold no key.
+// The metrics of the Go runtime and of the process are added to registry.
 func New(registry *prometheus.Registry, ready func() error, dump func() any) *API {
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return &API{registry: registry, ready: ready, dump: dump}
 }
 
