Order waiting requests by class and by served tokens, and route by work ahead

Cause: the thin schedule gave room to whichever request woke up first, chose the engine with the fewest own requests, and scanned and sorted every view for each request, so a flood took all places and 1,100 engines cost a scan each.

Now package assignment decides (pure; time and randomness are passed in): queue orders by class, then by a virtual token counter for each customer weighted by its rate, with an aging bound for lower classes; a customer may hold at most as many places in the queue as are free. route scores engines by work ahead (backlog: own dispatches since the lagging report included), the missing prefix (cacheview: late events, a gap turns what is older into guesses) and distance, among two random choices and the engine that had the prefix last. A request whose turn is not expected before its deadline is refused at once with a Retry-After. credit divides an engine's capacity. A Place names the version to ask for, so that an older one serves during a roll.

--- /dev/null
+++ b/internal/assignment/throughput.go
@@ -0,0 +1,43 @@
+package assignment
+
+import "time"
+
+const (
+	throughputWindow  = time.Second
+	throughputExpiry  = 30 * time.Second
+	throughputPartNew = 0.3
+)
+
+// throughput is a moving average of tokens finished a second.
+type throughput struct {
+	start  time.Time
+	tokens float64
+	rate   float64
+}
+
+func (t *throughput) add(now time.Time, tokens float64) {
+	if t.start.IsZero() || now.Sub(t.start) > throughputExpiry {
+		*t = throughput{start: now}
+		return
+	}
+	t.tokens += tokens
+	elapsed := now.Sub(t.start)
+	if elapsed < throughputWindow {
+		return
+	}
+	rate := t.tokens / elapsed.Seconds()
+	if t.rate == 0 {
+		t.rate = rate
+	}
+	t.rate += throughputPartNew * (rate - t.rate)
+	t.start = now
+	t.tokens = 0
+}
+
+// perSecond returns the average, or zero when nothing has finished lately.
+func (t *throughput) perSecond(now time.Time) float64 {
+	if now.Sub(t.start) > throughputExpiry {
+		return 0
+	}
+	return t.rate
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,7 +84,9 @@
 	if err := r.Ticket.Check(); err != nil {
 		return true, err
 	}
-	req := generateRequest(r, p.offset)
+	before := p.offset
+	defer func() { place.Served(p.offset - before) }()
+	req := generateRequest(r, place.Version, p.offset)
 	logger := d.logger.With("request_id", r.ID, "attempt_id", req.AttemptID, "target", place.Target)
 	stream, err := d.engines.Generate(ctx, place.Address, req)
 	if err != nil {
@@ -100,11 +102,11 @@
 	return done || ctx.Err() != nil, err
 }
 
-func generateRequest(r *request.Request, offset int) *engine.GenerateRequest {
+func generateRequest(r *request.Request, version string, offset int) *engine.GenerateRequest {
 	return &engine.GenerateRequest{
 		AttemptID: uuid.NewString(),
 		Model:     r.Weights.Model,
-		Version:   r.Weights.Version,
+		Version:   version,
 		Adapter:   r.Weights.Adapter,
 		Prompt:    r.Prompt,
 		Sampling:  r.Sampling,
--- a/internal/engineview/engineview.go
+++ b/internal/engineview/engineview.go
@@ -5,19 +5,21 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"fireflypier.example/fireflypier/internal/catalog"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
+	"fireflypier.example/fireflypier/internal/object"
 )
 
 // Views holds the views of engines by target name. Its methods may be called
 // at the same time.
 type Views struct {
-	mu      sync.Mutex
-	views   map[string]View
-	waiters []chan struct{}
+	mu       sync.Mutex
+	views    map[string]View
+	onUpdate []func([]View)
 }
 
 // View is the last view of one engine.
@@ -25,10 +27,16 @@
 	// Target is the engine's name, Address where it listens.
 	Target  string
 	Address netip.AddrPort
+	// DataCentre is where the engine's VM is.
+	DataCentre string
 	// Concurrency is the configured bound of running requests.
 	Concurrency int
 	// Loaded holds the weights that are ready.
 	Loaded map[Loaded]bool
+	// Adapters holds the names of the loaded adapters.
+	Adapters map[string]bool `json:"-"`
+	// Events are the cache events that came with this view.
+	Events []CacheEvent `json:"-"`
 	// Running, Waiting and QueuedTokens are the reported load.
 	Running, Waiting, QueuedTokens int64
 	// CreditTokens bounds this gateway's unfinished tokens there.
@@ -49,38 +57,70 @@
 	Name, Version string
 }
 
+// CacheEvent is a change of an engine's prefix cache.
+type CacheEvent struct {
+	// Sequence numbers the events of one boot without gaps.
+	Sequence int64
+	// Added and Removed are block hashes.
+	Added, Removed []uint64
+}
+
 // New returns an empty set of views.
 func New() *Views { return &Views{views: map[string]View{}} }
 
+// OnUpdate makes f receive the views of each batch, in the order of the
+// batches. An engine that the catalog no longer names comes as unreachable.
+// Call it before the first Update.
+func (v *Views) OnUpdate(f func([]View)) { v.onUpdate = append(v.onUpdate, f) }
+
 // Update records a batch of views; targets that the catalog does not name
 // are dropped.
 func (v *Views) Update(c *catalog.Catalog, batch *feedpb.Views) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	changed := make([]View, 0, len(batch.GetViews()))
 	for _, view := range batch.GetViews() {
 		target, ok := c.Target(view.GetTarget())
 		if !ok {
 			delete(v.views, view.GetTarget())
+			changed = append(changed, View{Target: view.GetTarget()})
 			continue
 		}
-		v.views[view.GetTarget()] = View{
-			Target:       view.GetTarget(),
-			Address:      target.Address,
-			Concurrency:  target.Concurrency,
-			Loaded:       loadedOf(view),
-			Running:      view.GetRunning(),
-			Waiting:      view.GetWaiting(),
-			QueuedTokens: view.GetQueuedTokens(),
-			CreditTokens: view.GetCreditTokens(),
-			Reachable:    view.GetReachable(),
-			Collected:    time.UnixMilli(view.GetCollectedUnixMs()),
-			BootID:       view.GetBootId(),
+		next := viewOf(view, &target)
+		changed = append(changed, next)
+		next.Events = nil
+		v.views[next.Target] = next
+	}
+	for _, f := range v.onUpdate {
+		f(changed)
+	}
+}
+
+func viewOf(view *feedpb.View, target *object.Target) View {
+	next := View{
+		Target:       view.GetTarget(),
+		Address:      target.Address,
+		DataCentre:   target.DataCentre,
+		Concurrency:  target.Concurrency,
+		Loaded:       loadedOf(view),
+		Adapters:     map[string]bool{},
+		Running:      view.GetRunning(),
+		Waiting:      view.GetWaiting(),
+		QueuedTokens: view.GetQueuedTokens(),
+		CreditTokens: view.GetCreditTokens(),
+		Reachable:    view.GetReachable(),
+		Collected:    time.UnixMilli(view.GetCollectedUnixMs()),
+		BootID:       view.GetBootId(),
+	}
+	for l := range next.Loaded {
+		if l.Kind == string(object.KindAdapter) {
+			next.Adapters[l.Name] = true
 		}
 	}
-	for _, w := range v.waiters {
-		close(w)
+	for _, e := range view.GetEvents() {
+		next.Events = append(next.Events, CacheEvent{Sequence: e.GetSequence(), Added: e.GetAdded(), Removed: e.GetRemoved()})
 	}
-	v.waiters = nil
+	return next
 }
 
 func loadedOf(view *feedpb.View) map[Loaded]bool {
@@ -91,50 +131,6 @@
 	return loaded
 }
 
-// Holding returns the reachable engines that hold the weights, sorted by
-// target name.
-func (v *Views) Holding(w *catalog.Weights) []View {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var holding []View
-	for _, view := range v.views {
-		if view.Reachable && view.holds(w) {
-			holding = append(holding, view)
-		}
-	}
-	slices.SortFunc(holding, func(a, b View) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
-	return holding
-}
-
-func (v *View) holds(w *catalog.Weights) bool {
-	if !v.Loaded[Loaded{Kind: "model", Name: w.Model, Version: w.Version}] {
-		return false
-	}
-	if w.Adapter == "" {
-		return true
-	}
-	for l := range v.Loaded {
-		if l.Kind == "adapter" && l.Name == w.Adapter {
-			return true
-		}
-	}
-	return false
-}
-
-// Changed returns a channel that is closed at the next update.
-func (v *Views) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	w := make(chan struct{})
-	v.waiters = append(v.waiters, w)
-	return w
-}
-
 // All returns every view, sorted by target name, for dumps.
 func (v *Views) All() []View {
 	v.mu.Lock()
@@ -143,12 +139,7 @@
 	for _, view := range v.views {
 		all = append(all, view)
 	}
-	slices.SortFunc(all, func(a, b View) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b View) int { return strings.Compare(a.Target, b.Target) })
 	return all
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"fireflypier.example/fireflypier/internal/adminapi"
 	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/adoption"
+	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/callerapi"
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/engine"
@@ -128,12 +129,28 @@
 		},
 		Admission: admit,
 		Limiter:   limits,
-		Dispatch:  dispatch.New(engine.NewClient(), schedule.New(g.views), g.logger),
+		Dispatch:  dispatch.New(engine.NewClient(), g.schedule(), g.logger),
 		Plain:     plain,
 		Entry:     entry.New(g.gateways, g.cfg.DataCentre, g.cfg.EntryTTL),
 	})
 }
 
+func (g *Gateway) schedule() *schedule.Schedule {
+	return schedule.New(g.views,
+		schedule.WithClock(g.clock),
+		schedule.WithWeight(g.weight),
+		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
+}
+
+// weight returns the rate of a customer in tokens a second.
+func (g *Gateway) weight(customer string) float64 {
+	rate, ok := g.adoption.Current().Rate(customer)
+	if !ok {
+		return 1
+	}
+	return rate.TokensPerSecond
+}
+
 func (g *Gateway) gateways() []member.Member { return g.membership.Live(member.Gateway) }
 
 func (g *Gateway) self() member.Member {
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,264 @@
+package queue_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/queue"
+)
+
+func init() { _ = flag.Set("rapid.seed", "5") }
+
+func TestQueue(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "queue")
+}
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	classes = []object.Class{object.ClassUrgent, object.ClassNormal, object.ClassBackground}
+	all     = func(*queue.Lane) bool { return true }
+)
+
+const never = time.Hour
+
+func item(customer, model string, class object.Class, cost float64, deadline time.Duration) *queue.Item {
+	return &queue.Item{
+		Customer: customer, Cost: cost, Weight: 10, Class: class,
+		Lane: queue.Lane{Model: model}, Deadline: start.Add(deadline),
+	}
+}
+
+// first is the order by definition: it looks at every waiting item.
+func first(q *queue.Queue, waiting []*queue.Item, models map[string]bool) *queue.Item {
+	var best *queue.Item
+	rank := func(it *queue.Item) (int, float64) {
+		for i, c := range classes {
+			if it.Class == c {
+				return i, q.Served(it.Customer)
+			}
+		}
+		return len(classes), 0
+	}
+	for _, it := range waiting {
+		if !models[it.Lane.Model] {
+			continue
+		}
+		if best == nil {
+			best = it
+			continue
+		}
+		class, served := rank(it)
+		bestClass, bestServed := rank(best)
+		if class < bestClass || class == bestClass && served < bestServed {
+			best = it
+		}
+	}
+	return best
+}
+
+var _ = Describe("the queue", func() {
+	It("agrees with a scan of all waiting items under random operations", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			q := queue.New(queue.Bounds{Waiting: 400, Aging: never})
+			var waiting []*queue.Item
+			for range rapid.IntRange(1, 120).Draw(t, "operations") {
+				switch rapid.IntRange(0, 3).Draw(t, "operation") {
+				case 0, 1:
+					it := item(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "customer"),
+						rapid.SampledFrom([]string{"m", "n", "o"}).Draw(t, "model"),
+						rapid.SampledFrom(classes).Draw(t, "class"),
+						float64(rapid.IntRange(1, 500).Draw(t, "cost")), never)
+					if q.Push(it, start) {
+						waiting = append(waiting, it)
+					}
+				case 2:
+					models := rapid.SampledFrom([][]string{{"m"}, {"n", "o"}, {"m", "n", "o"}}).Draw(t, "models")
+					set := map[string]bool{}
+					for _, m := range models {
+						set[m] = true
+					}
+					want := first(q, waiting, set)
+					got := q.Best(start, models, all)
+					if !same(q, want, got) {
+						t.Fatalf("best is %+v, want %+v", got, want)
+					}
+					if got != nil {
+						q.Take(got, start)
+						waiting = without(waiting, got)
+					}
+				case 3:
+					if len(waiting) > 0 {
+						it := rapid.SampledFrom(waiting).Draw(t, "canceled")
+						q.Remove(it)
+						q.Remove(it)
+						waiting = without(waiting, it)
+					}
+				}
+				if q.Len() != len(waiting) {
+					t.Fatalf("%d items wait, want %d", q.Len(), len(waiting))
+				}
+			}
+		})
+	})
+
+	It("serves customers that always wait in proportion to their rates", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			q := queue.New(queue.Bounds{Waiting: 100, Aging: never})
+			weights := map[string]float64{}
+			for i := range rapid.IntRange(2, 5).Draw(t, "customers") {
+				weights[fmt.Sprint(i)] = float64(rapid.IntRange(1, 50).Draw(t, "weight"))
+			}
+			served := map[string]float64{}
+			push := func(customer string) {
+				it := item(customer, "m", object.ClassNormal, float64(rapid.IntRange(1, 100).Draw(t, "cost")), never)
+				it.Weight = weights[customer]
+				Expect(q.Push(it, start)).To(BeTrue())
+			}
+			for i := range len(weights) {
+				push(fmt.Sprint(i))
+				push(fmt.Sprint(i))
+			}
+			for range 300 {
+				it := q.Best(start, []string{"m"}, all)
+				q.Take(it, start)
+				served[it.Customer] += it.Cost
+				push(it.Customer)
+			}
+			for a, w := range weights {
+				for b, v := range weights {
+					if gap := served[a]/w - served[b]/v; gap > 100/w+100/v {
+						t.Fatalf("customer %s is %.1f seconds of its rate ahead of %s", a, gap, b)
+					}
+				}
+			}
+		})
+	})
+
+	It("gives a customer that was idle no credit", func() {
+		q := queue.New(queue.Bounds{Waiting: 1000, Aging: never})
+		Expect(q.Push(item("idle", "m", object.ClassNormal, 10, never), start)).To(BeTrue())
+		q.Take(q.Best(start, []string{"m"}, all), start)
+		for range 200 {
+			Expect(q.Push(item("busy", "m", object.ClassNormal, 10, never), start)).To(BeTrue())
+		}
+		for range 100 {
+			q.Take(q.Best(start, []string{"m"}, all), start)
+		}
+		served := map[string]int{}
+		for range 50 {
+			Expect(q.Push(item("idle", "m", object.ClassNormal, 10, never), start)).To(BeTrue())
+		}
+		for range 40 {
+			it := q.Best(start, []string{"m"}, all)
+			served[it.Customer]++
+			q.Take(it, start)
+		}
+		Expect(served["idle"]).To(BeNumerically("~", 20, 1))
+	})
+
+	It("keeps room for others when one customer floods", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			bound := rapid.IntRange(8, 200).Draw(t, "bound")
+			q := queue.New(queue.Bounds{Waiting: bound, Aging: never})
+			floods := rapid.IntRange(1, 3).Draw(t, "flooding customers")
+			for range 3 * bound {
+				for f := range floods {
+					q.Push(item(fmt.Sprint("flood", f), "m", object.ClassNormal, 1, never), start)
+				}
+			}
+			free := bound - q.Len()
+			if free < bound/(floods+1)-floods {
+				t.Fatalf("%d floods leave %d of %d", floods, free, bound)
+			}
+			if !q.Push(item("small", "m", object.ClassNormal, 1, never), start) {
+				t.Fatalf("there is no room for a small customer")
+			}
+		})
+	})
+
+	It("serves a class that went unserved for the aging bound", func() {
+		q := queue.New(queue.Bounds{Waiting: 1000, Aging: 5 * time.Second})
+		Expect(q.Push(item("a", "m", object.ClassBackground, 1, never), start)).To(BeTrue())
+		for range 20 {
+			Expect(q.Push(item("b", "m", object.ClassUrgent, 1, never), start)).To(BeTrue())
+		}
+		var at time.Duration
+		for ; ; at += time.Second {
+			it := q.Best(start.Add(at), []string{"m"}, all)
+			q.Take(it, start.Add(at))
+			if it.Class == object.ClassBackground {
+				break
+			}
+		}
+		Expect(at).To(Equal(5 * time.Second))
+	})
+
+	It("does not let late items block others", func() {
+		q := queue.New(queue.Bounds{Waiting: 100, Aging: never})
+		late := item("a", "m", object.ClassUrgent, 1, time.Second)
+		alive := item("a", "m", object.ClassUrgent, 1, time.Minute)
+		Expect(q.Push(late, start)).To(BeTrue())
+		Expect(q.Push(alive, start)).To(BeTrue())
+		Expect(q.Best(start.Add(2*time.Second), []string{"m"}, all)).To(BeIdenticalTo(alive))
+		Expect(q.TakeLate()).To(ConsistOf(late))
+		Expect(q.Len()).To(Equal(1))
+	})
+
+	It("blocks an item only by what can serve it", func() {
+		q := queue.New(queue.Bounds{Waiting: 100, Aging: never})
+		Expect(q.Push(item("a", "m", object.ClassUrgent, 1, never), start)).To(BeTrue())
+		other := item("b", "n", object.ClassBackground, 1, never)
+		Expect(q.Push(other, start)).To(BeTrue())
+		Expect(q.Best(start, []string{"n"}, all)).To(BeIdenticalTo(other))
+	})
+})
+
+// same tells whether two items are equal in the order by definition.
+func same(q *queue.Queue, a, b *queue.Item) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Class == b.Class && q.Served(a.Customer) == q.Served(b.Customer)
+}
+
+func without(items []*queue.Item, gone *queue.Item) []*queue.Item {
+	var left []*queue.Item
+	for _, it := range items {
+		if it != gone {
+			left = append(left, it)
+		}
+	}
+	return left
+}
+
+func BenchmarkPushBestTake(b *testing.B) {
+	for _, size := range []struct{ customers, waiting int }{{5, 100}, {500, 1000}, {500, 10_000}, {500, 100_000}} {
+		b.Run(fmt.Sprintf("customers=%d/waiting=%d", size.customers, size.waiting), func(b *testing.B) {
+			q := queue.New(queue.Bounds{Waiting: 10 * size.waiting, Aging: time.Second})
+			items := make([]*queue.Item, size.waiting+1)
+			for i := range items {
+				items[i] = item(fmt.Sprint("customer-", i%size.customers), fmt.Sprint("model-", i%280), classes[i%3], 300, never)
+			}
+			for _, it := range items[1:] {
+				q.Push(it, start)
+			}
+			free := items[0]
+			models := []string{"model-0", "model-1", "model-2", "model-3"}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				q.Push(free, start)
+				free = q.Best(start, models, all)
+				q.Take(free, start)
+			}
+		})
+	}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -1,36 +1,74 @@
-// Package schedule decides which engine runs a request, and when.
+// Package schedule gives requests places at engines and makes them wait for
+// one. The decisions are those of package assignment.
 package schedule
 
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/request"
 )
 
-// defaultConcurrency bounds the running requests of an engine whose target
-// names no bound.
-const defaultConcurrency = 64
-
 // Schedule gives requests places at engines. Its methods may be called at
 // the same time.
 type Schedule struct {
-	views *engineview.Views
+	clock  clockwork.Clock
+	weight func(customer string) float64
+	parts  []assignment.Option
+
+	mu         sync.Mutex
+	assignment *assignment.Assignment
+}
 
-	mu          sync.Mutex
-	outstanding map[string]int
-	freed       chan struct{}
+// Option changes a Schedule under construction.
+type Option func(*Schedule)
+
+// WithClock replaces the real clock.
+func WithClock(c clockwork.Clock) Option { return func(s *Schedule) { s.clock = c } }
+
+// WithWeight gives the weight of each customer, its rate in tokens a second;
+// by default all weigh the same.
+func WithWeight(f func(customer string) float64) Option {
+	return func(s *Schedule) { s.weight = f }
 }
 
-// New returns a schedule over the views.
-func New(views *engineview.Views) *Schedule {
-	return &Schedule{views: views, outstanding: map[string]int{}, freed: make(chan struct{})}
+// WithAssignment passes options on to the decisions.
+func WithAssignment(opts ...assignment.Option) Option {
+	return func(s *Schedule) { s.parts = append(s.parts, opts...) }
+}
+
+// New returns a schedule that follows the views.
+func New(views *engineview.Views, opts ...Option) *Schedule {
+	s := &Schedule{
+		clock:  clockwork.NewRealClock(),
+		weight: func(string) float64 { return 1 },
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.assignment = assignment.New(s.parts...)
+	views.OnUpdate(s.update)
+	return s
+}
+
+func (s *Schedule) update(views []engineview.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.assignment.Update(views, s.clock.Now())
+}
+
+// Waiting returns the number of requests that wait for a place.
+func (s *Schedule) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.assignment.Waiting()
 }
 
 // Place is a place at an engine. Release it when the attempt has ended.
@@ -38,28 +76,73 @@
 	// Target is the engine's name, Address where it listens.
 	Target  string
 	Address netip.AddrPort
+	// Version is the model's version to ask for. During a roll it may be
+	// older than the configured one.
+	Version string
 
 	schedule *Schedule
+	job      assignment.Job
 	once     sync.Once
+	served   int
 }
 
 // Acquire waits for a place at an engine that holds the request's weights
-// and is not excluded. The errors are DeadlineExceeded, NoReplica (no engine
-// had the weights until the deadline) and Canceled.
+// and is not excluded. The errors are Overloaded (no room to wait, or no turn
+// expected before the deadline), DeadlineExceeded, NoReplica (no engine had
+// the weights until the deadline) and Canceled.
 func (s *Schedule) Acquire(ctx context.Context, r *request.Request, exclude []string) (*Place, error) {
-	for {
-		changed := s.views.Changed()
-		place, freed, found := s.try(r, exclude)
-		if place != nil {
-			return place, nil
-		}
+	p := &Place{schedule: s}
+	p.job = assignment.Job{Request: r, Exclude: exclude, Weight: s.weight(r.Ticket.Customer)}
+	if s.submit(&p.job) {
+		return p.placed()
+	}
+	ready := make(chan struct{})
+	if s.wait(&p.job, ready) {
 		select {
-		case <-changed:
-		case <-freed:
+		case <-ready:
 		case <-ctx.Done():
-			return nil, waitError(ctx, found)
+			if err := s.abandon(ctx, &p.job); err != nil {
+				return nil, err
+			}
 		}
 	}
+	return p.placed()
+}
+
+// submit reports whether the job is settled at once.
+func (s *Schedule) submit(j *assignment.Job) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.assignment.Submit(j, s.clock.Now())
+	return j.Placed || j.Err != nil
+}
+
+// wait asks for a notice of a waiting job; false when it was settled
+// meanwhile.
+func (s *Schedule) wait(j *assignment.Job, ready chan struct{}) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.Placed || j.Err != nil {
+		return false
+	}
+	j.Notify = func() { close(ready) }
+	return true
+}
+
+// abandon takes a job out of the queue; a place that came meanwhile is given
+// back.
+func (s *Schedule) abandon(ctx context.Context, j *assignment.Job) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.Err != nil {
+		return j.Err
+	}
+	if j.Placed {
+		s.assignment.Finish(j, 0, s.clock.Now())
+	} else {
+		s.assignment.Cancel(j)
+	}
+	return waitError(ctx, s.assignment.Holds(j))
 }
 
 func waitError(ctx context.Context, found bool) error {
@@ -72,44 +155,27 @@
 	return failure.New(failure.DeadlineExceeded, "no engine had room before the deadline")
 }
 
-// try returns a place, or a channel that is closed when one is freed; found
-// tells whether any engine holds the weights.
-func (s *Schedule) try(r *request.Request, exclude []string) (p *Place, freed <-chan struct{}, found bool) {
-	views := s.views.Holding(&r.Weights)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	best := -1
-	for i := range views {
-		if slices.Contains(exclude, views[i].Target) || !s.hasRoom(&views[i]) {
-			continue
-		}
-		if best < 0 || s.outstanding[views[i].Target] < s.outstanding[views[best].Target] {
-			best = i
-		}
-	}
-	if best < 0 {
-		return nil, s.freed, len(views) > 0
+func (p *Place) placed() (*Place, error) {
+	if p.job.Err != nil {
+		return nil, p.job.Err
 	}
-	s.outstanding[views[best].Target]++
-	return &Place{Target: views[best].Target, Address: views[best].Address, schedule: s}, nil, true
+	p.Target = p.job.Target
+	p.Address = p.job.Address
+	p.Version = p.job.Version
+	return p, nil
 }
 
-func (s *Schedule) hasRoom(v *engineview.View) bool {
-	limit := v.Concurrency
-	if limit == 0 {
-		limit = defaultConcurrency
-	}
-	return s.outstanding[v.Target] < limit
-}
+// Served tells how many tokens the attempt has generated. Call it before
+// Release, from the goroutine that releases.
+func (p *Place) Served(tokens int) { p.served = tokens }
 
 // Release gives the place back; it may be called more than once.
 func (p *Place) Release() {
 	p.once.Do(func() {
 		s := p.schedule
+		used := float64(p.job.Request.PromptTokens() + p.served)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.outstanding[p.Target]--
-		close(s.freed)
-		s.freed = make(chan struct{})
+		s.assignment.Finish(&p.job, used, s.clock.Now())
 	})
 }
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,151 @@
+package schedule_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc/pool"
+
+	"fireflypier.example/fireflypier/internal/admission"
+	"fireflypier.example/fireflypier/internal/catalog"
+	"fireflypier.example/fireflypier/internal/engineview"
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/feed/feedpb"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/request"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/schedule"
+)
+
+func TestSchedule(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "schedule")
+}
+
+const concurrency = 2
+
+func newCatalog() *catalog.Catalog {
+	s := revision.Empty()
+	s.Objects.Targets = map[string]object.Target{
+		"e1": {Address: netip.MustParseAddrPort("127.0.0.1:1"), Concurrency: concurrency},
+	}
+	return catalog.New(s)
+}
+
+func loaded(reachable bool) *feedpb.Views {
+	return &feedpb.Views{Views: []*feedpb.View{{
+		Target: "e1", Reachable: reachable,
+		Loaded: []*feedpb.Weights{{Kind: "model", Name: "m", Version: "1"}},
+	}}}
+}
+
+func newRequest(customer string) *request.Request {
+	return &request.Request{
+		Ticket:    admission.Ticket{Customer: customer},
+		Weights:   catalog.Weights{Model: "m", Version: "1"},
+		MaxTokens: 10, Deadline: time.Now().Add(time.Hour),
+	}
+}
+
+var _ = Describe("the schedule", func() {
+	It("makes requests wait for room and for the model", func(ctx SpecContext) {
+		views := engineview.New()
+		s := schedule.New(views)
+		got := make(chan *schedule.Place)
+		go func() {
+			defer GinkgoRecover()
+			p, err := s.Acquire(ctx, newRequest("a"), nil)
+			Expect(err).NotTo(HaveOccurred())
+			got <- p
+		}()
+		Eventually(s.Waiting).Should(Equal(1))
+		views.Update(newCatalog(), loaded(true))
+		p := <-got
+		Expect(p.Target).To(Equal("e1"))
+		p.Release()
+		p.Release()
+	})
+
+	It("takes back the place of a caller that leaves", func(ctx SpecContext) {
+		views := engineview.New()
+		s := schedule.New(views)
+		views.Update(newCatalog(), loaded(true))
+		var places []*schedule.Place
+		for range concurrency {
+			p, err := s.Acquire(ctx, newRequest("a"), nil)
+			Expect(err).NotTo(HaveOccurred())
+			places = append(places, p)
+		}
+		left, leave := context.WithCancel(ctx)
+		failed := make(chan error)
+		go func() {
+			_, err := s.Acquire(left, newRequest("a"), nil)
+			failed <- err
+		}()
+		Eventually(s.Waiting).Should(Equal(1))
+		leave()
+		Expect(failure.Is(<-failed, failure.Canceled)).To(BeTrue())
+		Expect(s.Waiting()).To(BeZero())
+		places[0].Release()
+		p, err := s.Acquire(ctx, newRequest("a"), nil)
+		Expect(err).NotTo(HaveOccurred())
+		p.Release()
+	})
+
+	It("tells a missing replica from a lack of room at the deadline", func(ctx SpecContext) {
+		views := engineview.New()
+		s := schedule.New(views)
+		short, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+		defer cancel()
+		_, err := s.Acquire(short, newRequest("a"), nil)
+		Expect(failure.Is(err, failure.NoReplica)).To(BeTrue())
+		views.Update(newCatalog(), loaded(true))
+		_, err = s.Acquire(short, newRequest("a"), []string{"e1"})
+		Expect(failure.Is(err, failure.DeadlineExceeded)).To(BeTrue())
+	})
+
+	It("keeps the engine's bound and loses no place when callers leave at any time", func(ctx SpecContext) {
+		views := engineview.New()
+		s := schedule.New(views)
+		catalog := newCatalog()
+		views.Update(catalog, loaded(true))
+		var running, served atomic.Int64
+		workers := pool.New().WithErrors()
+		for w := range 16 {
+			workers.Go(func() error {
+				for i := range 300 {
+					bounded, cancel := context.WithTimeout(ctx, time.Duration((w*31+i*17)%300)*time.Microsecond)
+					p, err := s.Acquire(bounded, newRequest(fmt.Sprint(w%4)), nil)
+					cancel()
+					if err != nil {
+						continue
+					}
+					if n := running.Add(1); n > concurrency {
+						return fmt.Errorf("%d requests run at once", n)
+					}
+					served.Add(1)
+					if i%50 == 0 {
+						views.Update(catalog, loaded(i%100 == 0))
+						views.Update(catalog, loaded(true))
+					}
+					running.Add(-1)
+					p.Release()
+				}
+				return nil
+			})
+		}
+		Expect(workers.Wait()).To(Succeed())
+		Expect(served.Load()).To(BeNumerically(">", 0))
+		for range concurrency {
+			_, err := s.Acquire(ctx, newRequest("a"), nil)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(s.Waiting()).To(BeZero())
+	})
+})
