--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -165,13 +165,26 @@
 }
 
 // Update takes new views of engines and gives the room that they show to
-// waiting jobs.
+// waiting jobs. A view that was never collected is that of an engine which is
+// no longer configured.
 func (a *Assignment) Update(views []engineview.View, now time.Time) {
 	for i := range views {
 		e := a.engine(views[i].Target)
 		a.update(e, &views[i], now)
 		a.fill(e, now)
+		if views[i].Collected.IsZero() {
+			delete(a.engines, views[i].Target)
+		}
+	}
+}
+
+// Own returns the unfinished tokens that this gateway has at an engine.
+func (a *Assignment) Own(target string) int64 {
+	e, ok := a.engines[target]
+	if !ok {
+		return 0
 	}
+	return int64(e.backlog.Own())
 }
 
 // fill gives the room of e to the first of the jobs that it can serve.
--- a/internal/assignment/engine.go
+++ b/internal/assignment/engine.go
@@ -59,7 +59,7 @@
 }
 
 func (e *engine) hasRoom() bool {
-	if !e.view.Reachable || e.requests >= e.concurrency() {
+	if !e.view.Reachable || e.view.Leaving || e.requests >= e.concurrency() {
 		return false
 	}
 	return e.view.CreditTokens == 0 || e.backlog.Own() < float64(e.view.CreditTokens)
--- a/internal/engineview/engineview.go
+++ b/internal/engineview/engineview.go
@@ -43,6 +43,8 @@
 	CreditTokens int64
 	// Reachable is false when the engine did not answer its controller.
 	Reachable bool
+	// Leaving is true when the target takes no new work.
+	Leaving bool
 	// Collected is the time of the report.
 	Collected time.Time
 	// BootID changes when the engine restarts.
@@ -109,6 +111,7 @@
 		QueuedTokens: view.GetQueuedTokens(),
 		CreditTokens: view.GetCreditTokens(),
 		Reachable:    view.GetReachable(),
+		Leaving:      view.GetLeaving(),
 		Collected:    time.UnixMilli(view.GetCollectedUnixMs()),
 		BootID:       view.GetBootId(),
 	}
@@ -131,6 +134,14 @@
 	return loaded
 }
 
+// Leaving reports whether a target, engine or plain service, takes no new
+// work.
+func (v *Views) Leaving(target string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.views[target].Leaving
+}
+
 // All returns every view, sorted by target name, for dumps.
 func (v *Views) All() []View {
 	v.mu.Lock()
