--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fireflypier.example/fireflypier/internal/engineview"
@@ -80,7 +81,7 @@
 func (a *Assignment) Submit(j *Job, now time.Time) {
 	j.fill()
 	if !a.queue.Waits(j.item.Lane) {
-		if e := a.choose(j); e != nil {
+		if e := a.choose(j, now); e != nil {
 			a.queue.Charge(j.item.Customer, j.item.Weight, j.item.Cost)
 			a.place(j, e, now)
 			return
@@ -145,6 +146,17 @@
 	return false
 }
 
+// Start tells that the first token of a placed job has come; later calls do
+// nothing.
+func (a *Assignment) Start(j *Job, now time.Time) {
+	if j.engine == nil || j.unread == 0 {
+		return
+	}
+	j.engine.window.Answer(now, j.unread, now.Sub(j.sent))
+	j.unread = 0
+	a.fill(j.engine, now)
+}
+
 // Finish ends a placed job that used a number of tokens, and gives its place
 // to the next one.
 func (a *Assignment) Finish(j *Job, used float64, now time.Time) {
@@ -154,7 +166,8 @@
 	}
 	j.engine = nil
 	e.requests--
-	e.backlog.Finish(now, j.item.Cost)
+	e.window.Abandon(j.unread)
+	e.backlog.Finish(now, float64(j.Request.MaxTokens))
 	if used < j.item.Cost {
 		a.queue.Refund(j.item.Customer, j.item.Cost-used)
 	}
@@ -171,6 +184,9 @@
 	for i := range views {
 		e := a.engine(views[i].Target)
 		a.update(e, &views[i], now)
+		for k := range views[i].Events {
+			a.recent.put(views[i].Events[k].Added, e)
+		}
 		a.fill(e, now)
 		if views[i].Collected.IsZero() {
 			delete(a.engines, views[i].Target)
@@ -178,7 +194,7 @@
 	}
 }
 
-// Own returns the unfinished tokens that this gateway has at an engine.
+// Own returns the unfinished answer tokens that this gateway has at an engine.
 func (a *Assignment) Own(target string) int64 {
 	e, ok := a.engines[target]
 	if !ok {
@@ -192,7 +208,7 @@
 	if a.queue.Len() == 0 {
 		return
 	}
-	for e.hasRoom() {
+	for e.hasRoom() && e.window.Open() {
 		it := a.queue.Best(now, e.models, e.holds)
 		a.refuseLate()
 		if it == nil {
@@ -220,10 +236,13 @@
 // place sends j to e.
 func (a *Assignment) place(j *Job, e *engine, now time.Time) {
 	e.requests++
-	e.backlog.Add(now, j.item.Cost)
+	e.backlog.Add(now, float64(j.Request.MaxTokens))
 	known, _ := e.cache.Match(j.Request.Prefix)
 	e.cache.Expect(j.Request.Prefix, known)
 	a.recent.put(j.Request.Prefix, e)
+	j.unread = max(1, float64(j.Request.PromptTokens()-known*tokensPerBlock))
+	j.sent = now
+	e.window.Send(j.unread)
 	j.engine = e
 	j.Placed = true
 	j.Target = e.view.Target
@@ -233,25 +252,25 @@
 
 // choose returns the best of a few engines with room, or nil when no engine
 // has room.
-func (a *Assignment) choose(j *Job) *engine {
+func (a *Assignment) choose(j *Job, now time.Time) *engine {
 	r, ok := a.byModel[j.item.Lane.Model]
 	if !ok || len(r.engines) == 0 {
 		return nil
 	}
 	best := a.recent.latest(j.Request.Prefix)
-	if best != nil && !best.takes(&j.item.Lane) {
+	if best != nil && (!slices.Contains(best.models, j.item.Lane.Model) || !a.takes(best, &j.item.Lane)) {
 		best = nil
 	}
 	var bestScore time.Duration
 	if best != nil {
-		bestScore = a.score(j, best)
+		bestScore = a.score(j, best, now)
 	}
 	for range min(a.choices, len(r.engines)) {
-		e := r.probe(a.random.IntN(len(r.engines)), &j.item.Lane, best)
+		e := a.probe(r, a.random.IntN(len(r.engines)), &j.item.Lane, best)
 		if e == nil {
 			return best
 		}
-		if score := a.score(j, e); best == nil || score < bestScore {
+		if score := a.score(j, e, now); best == nil || score < bestScore {
 			best = e
 			bestScore = score
 		}
@@ -259,10 +278,10 @@
 	return best
 }
 
-func (a *Assignment) score(j *Job, e *engine) time.Duration {
+func (a *Assignment) score(j *Job, e *engine, now time.Time) time.Duration {
 	blocks, certain := e.cache.Match(j.Request.Prefix)
 	return a.costs.Score(&route.Candidate{
-		Ahead:         e.backlog.Ahead(),
+		Ahead:         e.backlog.Ahead(now),
 		Concurrency:   e.concurrency(),
 		PromptTokens:  float64(j.Request.PromptTokens()),
 		CertainTokens: float64(certain * tokensPerBlock),
--- a/internal/assignment/assignment_test.go
+++ b/internal/assignment/assignment_test.go
@@ -204,7 +204,7 @@
 		}
 		if j.Placed {
 			requests[j.Target]++
-			tokens[j.Target] += int64(j.Request.Cost())
+			tokens[j.Target] += int64(j.Request.MaxTokens)
 		}
 	}
 	for _, j := range jobs {
--- a/internal/assignment/engine.go
+++ b/internal/assignment/engine.go
@@ -7,6 +7,7 @@
 
 	"fireflypier.example/fireflypier/internal/backlog"
 	"fireflypier.example/fireflypier/internal/cacheview"
+	"fireflypier.example/fireflypier/internal/congestion"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/object"
 	"fireflypier.example/fireflypier/internal/prefix"
@@ -31,9 +32,12 @@
 	requests int
 	backlog  backlog.Backlog
 	cache    *cacheview.Cache
+	window   *congestion.Window
 }
 
-func newEngine() *engine { return &engine{cache: cacheview.New(cacheBlocks)} }
+func newEngine() *engine {
+	return &engine{cache: cacheview.New(cacheBlocks), window: congestion.New()}
+}
 
 // take replaces the view.
 func (e *engine) take(v *engineview.View, now time.Time) {
@@ -73,8 +77,13 @@
 	return l.Adapter == "" || e.view.Adapters[l.Adapter]
 }
 
-func (e *engine) takes(l *queue.Lane) bool {
-	return e.hasRoom() && e.holds(l) && slices.Contains(e.models, l.Model)
+// takes reports whether a new job of a lane may run here. While jobs wait for
+// the engine, its window binds, so that they wait here, in order.
+func (a *Assignment) takes(e *engine, l *queue.Lane) bool {
+	if !e.hasRoom() || !e.holds(l) {
+		return false
+	}
+	return e.window.Open() || !a.queue.WaitsFor(e.models)
 }
 
 // version returns the wanted version when it is loaded, else the last in
@@ -109,11 +118,11 @@
 
 // probe returns the first engine at or after a position that takes the lane,
 // other than one, or nil.
-func (r *replicas) probe(at int, l *queue.Lane, other *engine) *engine {
+func (a *Assignment) probe(r *replicas, at int, l *queue.Lane, other *engine) *engine {
 	n := len(r.engines)
 	for i := range n {
 		e := r.engines[(at+i)%n]
-		if e != other && e.hasRoom() && e.holds(l) {
+		if e != other && a.takes(e, l) {
 			return e
 		}
 	}
--- a/internal/assignment/job.go
+++ b/internal/assignment/job.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strings"
+	"time"
 
 	"fireflypier.example/fireflypier/internal/queue"
 	"fireflypier.example/fireflypier/internal/request"
@@ -30,6 +31,10 @@
 
 	item   queue.Item
 	engine *engine
+	// unread are the prompt tokens that the engine reads until the first
+	// token, sent is when the job was placed.
+	unread float64
+	sent   time.Time
 }
 
 func (j *Job) fill() {
--- a/internal/assignment/speed_test.go
+++ b/internal/assignment/speed_test.go
@@ -43,7 +43,7 @@
 		list[i].Prefix = make(prefix.Hashes, 8)
 		group := random.Uint64N(1000)
 		for k := range list[i].Prefix {
-			list[i].Prefix[k] = group*1000 + uint64(k)
+			list[i].Prefix[k] = mix(group*1000 + uint64(k))
 		}
 	}
 	return list
--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -2,9 +2,15 @@
 // and from what this gateway has sent since.
 package backlog
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
+	// othersHalfLife is the age at which half of what a report says of
+	// others still counts: by then others have reacted to it as well.
+	othersHalfLife = 150 * time.Millisecond
 	sampleInterval = 50 * time.Millisecond
 	sampleCount    = 64
 )
@@ -12,10 +18,11 @@
 // Backlog is the work at one engine. It is not safe for concurrent use; the
 // zero value is an idle engine.
 type Backlog struct {
-	own     float64
-	others  float64
-	samples [sampleCount]sample
-	newest  int
+	own      float64
+	others   float64
+	reported time.Time
+	samples  [sampleCount]sample
+	newest   int
 }
 
 // sample is the own work at the end of an interval.
@@ -43,6 +50,7 @@
 // part that this gateway had sent by then is known, the rest is others'.
 func (b *Backlog) Report(at time.Time, tokens float64) {
 	b.others = max(0, tokens-b.ownAt(at))
+	b.reported = at
 }
 
 // ownAt returns this gateway's work at a time; before the oldest sample it
@@ -60,5 +68,13 @@
 // Own returns the unfinished tokens of this gateway.
 func (b *Backlog) Own() float64 { return b.own }
 
-// Ahead returns the estimate of all unfinished tokens.
-func (b *Backlog) Ahead() float64 { return b.own + b.others }
+// Ahead returns the estimate of all unfinished tokens. What a report says of
+// others counts less as it ages, so that many gateways do not all act on the
+// same old report.
+func (b *Backlog) Ahead(now time.Time) float64 {
+	age := now.Sub(b.reported)
+	if b.others == 0 || age <= 0 {
+		return b.own + b.others
+	}
+	return b.own + b.others*math.Exp2(-float64(age)/float64(othersHalfLife))
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -86,6 +86,21 @@
 	return ok && lane.waiting > 0
 }
 
+// WaitsFor reports whether items wait for any of the models.
+func (q *Queue) WaitsFor(models []string) bool {
+	if q.waiting == 0 {
+		return false
+	}
+	for _, model := range models {
+		for _, l := range q.byModel[model] {
+			if l.waiting > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Push adds an item. It returns false when the queue has no room for another
 // item of the customer.
 func (q *Queue) Push(it *Item, now time.Time) bool {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -165,6 +165,15 @@
 	return p, nil
 }
 
+// Started tells that the attempt's first token has come; later calls do
+// nothing.
+func (p *Place) Started() {
+	s := p.schedule
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.assignment.Start(&p.job, s.clock.Now())
+}
+
 // Served tells how many tokens the attempt has generated. Call it before
 // Release, from the goroutine that releases.
 func (p *Place) Served(tokens int) { p.served = tokens }
