--- a/internal/demandmeter/demandmeter.go
+++ b/internal/demandmeter/demandmeter.go
@@ -5,14 +5,13 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 
-	"sync"
-
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
 	"fireflypier.example/fireflypier/internal/peer"
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"fireflypier.example/fireflypier/internal/adoption"
 	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/callerapi"
+	"fireflypier.example/fireflypier/internal/demandmeter"
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
@@ -55,6 +56,7 @@
 	entry      *entryPoint
 	leaving    atomic.Bool
 	subscriber *feed.Subscriber
+	meter      *demandmeter.Meter
 	peers      *peer.Server
 	dialer     *peer.Dialer
 	callers    *listener.Listener
@@ -89,6 +91,7 @@
 	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
 	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
+	g.meter = demandmeter.New(cfg.Name, g.dialer, g.controllers, g.clock, g.logger)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -148,6 +151,7 @@
 	return schedule.New(g.views,
 		schedule.WithClock(g.clock),
 		schedule.WithWeight(g.weight),
+		schedule.WithMeter(g.meter),
 		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
 }
 
@@ -205,6 +209,7 @@
 	wg.Go(func() { g.follower.Run(background) })
 	wg.Go(func() { g.membership.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
+	wg.Go(func() { g.meter.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
 	wg.Go(func() { g.logError("admin", g.admin.Run()) })
 	wg.Go(func() { g.logError("callers", g.callers.Run()) })
--- /dev/null
+++ b/internal/schedule/meter.go
@@ -0,0 +1,44 @@
+package schedule
+
+import (
+	"fireflypier.example/fireflypier/internal/assignment"
+	"fireflypier.example/fireflypier/internal/request"
+)
+
+// Meter is told of the work that arrives; demandmeter.Meter implements it.
+type Meter interface {
+	// Arrived counts the tokens of a request for a model or adapter.
+	Arrived(name string, tokens int)
+	// Waits counts a request that no engine holds the weights for until
+	// ended is called.
+	Waits(name string) (ended func())
+}
+
+// WithMeter tells m of every request, so that controllers place models and
+// adapters by demand.
+func WithMeter(m Meter) Option { return func(s *Schedule) { s.meter = m } }
+
+// arrived tells the meter of a request's first attempt.
+func (s *Schedule) arrived(r *request.Request, exclude []string) {
+	if s.meter != nil && len(exclude) == 0 {
+		s.meter.Arrived(weightsName(r), int(r.Cost()))
+	}
+}
+
+// waits tells the meter of a job for which no engine holds the weights.
+func (s *Schedule) waits(j *assignment.Job) (ended func()) {
+	s.mu.Lock()
+	held := s.assignment.Holds(j)
+	s.mu.Unlock()
+	if s.meter == nil || held {
+		return func() {}
+	}
+	return s.meter.Waits(weightsName(j.Request))
+}
+
+func weightsName(r *request.Request) string {
+	if r.Weights.Adapter != "" {
+		return r.Weights.Adapter
+	}
+	return r.Weights.Model
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -22,6 +22,7 @@
 	clock  clockwork.Clock
 	weight func(customer string) float64
 	parts  []assignment.Option
+	meter  Meter
 
 	mu         sync.Mutex
 	assignment *assignment.Assignment
@@ -91,11 +92,14 @@
 // expected before the deadline), DeadlineExceeded, NoReplica (no engine had
 // the weights until the deadline) and Canceled.
 func (s *Schedule) Acquire(ctx context.Context, r *request.Request, exclude []string) (*Place, error) {
+	s.arrived(r, exclude)
 	p := &Place{schedule: s}
 	p.job = assignment.Job{Request: r, Exclude: exclude, Weight: s.weight(r.Ticket.Customer)}
 	if s.submit(&p.job) {
 		return p.placed()
 	}
+	ended := s.waits(&p.job)
+	defer ended()
 	ready := make(chan struct{})
 	if s.wait(&p.job, ready) {
 		select {
--- /dev/null
+++ b/tests/reachable_test.go
@@ -0,0 +1,167 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/document"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/standin/cloud"
+	"fireflypier.example/fireflypier/internal/standin/tablestore"
+)
+
+var _ = Describe("every model stays reachable", func() {
+	It("loads the models of a killed engine elsewhere, also with the store out in between", func() {
+		ctx := testContext()
+		f := startEngineFleet(ctx, 5, true, false, true, false)
+		c := f.startController(ctx, netip.AddrPort{})
+		f.apply(ctx, c)
+		f.served(ctx, 2)
+		g := f.startGateway(ctx)
+		f.answers(ctx, g)
+
+		By("killing an engine while the store is out")
+		setFault(ctx, f.platform, cloud.Fault{Fault: tablestore.Fault{Outage: true}})
+		f.engines[0].Kill()
+		f.answers(ctx, g)
+		setFault(ctx, f.platform, cloud.Fault{})
+		f.served(ctx, 2)
+
+		By("killing another with the planner, while the weight store is slow")
+		second := f.startController(ctx, netip.AddrPort{})
+		f.slowWeights(ctx, cloud.WeightConfig{LoadTime: 10 * loadTime, LoadsPerSecond: 5, LoadsAtOnce: 2})
+		start := time.Now()
+		c.Kill()
+		f.engines[1].Kill()
+		f.answers(ctx, g)
+		f.served(ctx, 1)
+		plans(ctx, second)
+		GinkgoWriter.Printf("every model answered %s after the kill of planner and engine\n", time.Since(start).Round(time.Millisecond))
+	})
+
+	It("rolls versions without a gap while an engine restarts and demand shifts", func() {
+		ctx := testContext()
+		f := startEngineFleet(ctx, 5, true, false, true)
+		c := f.startController(ctx, netip.AddrPort{})
+		f.apply(ctx, c)
+		f.served(ctx, 2)
+		g := f.startGateway(ctx)
+		f.answers(ctx, g)
+		running, stop := context.WithCancel(ctx)
+		var wg conc.WaitGroup
+		refused := make(chan string, 1)
+		for name := range f.set.Models {
+			wg.Go(func() { askUntil(running, ctx, g, name, refused) })
+		}
+
+		By("rolling every model, one engine restarting on the way")
+		f.grow("2", 6*gib)
+		f.apply(ctx, c)
+		f.restart(ctx, 0)
+		f.served(ctx, 1)
+		f.grow("3", 5*gib)
+		f.apply(ctx, c)
+		f.served(ctx, 1)
+		stop()
+		wg.Wait()
+		Expect(refused).To(BeEmpty(), func() string { return <-refused })
+	})
+
+	It("loads adapters on demand, while requests wait", func() {
+		ctx := testContext()
+		f := startEngineFleet(ctx, 3, true, false)
+		for i := range 6 {
+			f.set.Adapters[fmt.Sprintf("adapter-%d", i)] = object.Adapter{Model: "model-0", Version: "1", MemoryBytes: 2 * gib}
+		}
+		c := f.startController(ctx, netip.AddrPort{})
+		f.apply(ctx, c)
+		f.served(ctx, 1)
+		g := f.startGateway(ctx)
+		f.answers(ctx, g)
+		for i := range 6 {
+			a := ask(ctx, g, fmt.Sprintf("adapter-%d", i))
+			Expect(a.status).To(Equal(http.StatusOK), a.body)
+		}
+	})
+
+	It("hands a killed planner's shard to another controller and tells operators what is at risk", func() {
+		ctx := testContext()
+		f := startEngineFleet(ctx, 3, true, true)
+		first := f.startController(ctx, netip.AddrPort{})
+		f.apply(ctx, first)
+		f.served(ctx, 2)
+		plans(ctx, first)
+		second := f.startController(ctx, netip.AddrPort{})
+		start := time.Now()
+		first.Kill()
+		plans(ctx, second)
+		GinkgoWriter.Printf("the shard was taken over %s after the kill\n", time.Since(start).Round(time.Millisecond))
+		f.engines[1].Kill()
+		Expect(fleet.Eventually(ctx, func() error {
+			shards, err := shardsOf(ctx, second)
+			if err != nil {
+				return err
+			}
+			for _, m := range shards[0].Models {
+				if !m.AtRisk || m.Unreachable {
+					return fmt.Errorf("%s is not shown as at risk: %+v", m.Name, m)
+				}
+			}
+			return nil
+		})).To(Succeed())
+	})
+})
+
+func (f *engineFleet) startGateway(ctx context.Context) *fleet.Node {
+	g, err := f.StartGateway(ctx, "gateway-0", func(cfg *settings.Gateway) { cfg.FreshnessBound = time.Minute })
+	Expect(err).NotTo(HaveOccurred())
+	Expect(g.Ready(ctx)).To(Succeed())
+	return g
+}
+
+func ask(ctx context.Context, g *fleet.Node, model string) answer {
+	return chat(ctx, g.Addr, circleKey, fmt.Sprintf(`{"model":%q,"max_tokens":2,"messages":[]}`, model))
+}
+
+// answers waits until every model answers at a gateway.
+func (f *engineFleet) answers(ctx context.Context, g *fleet.Node) {
+	GinkgoHelper()
+	for name := range f.set.Models {
+		Expect(fleet.Eventually(ctx, func() error {
+			if a := ask(ctx, g, name); a.status != http.StatusOK {
+				return fmt.Errorf("%s answers %d: %s", name, a.status, a.body)
+			}
+			return nil
+		})).To(Succeed())
+	}
+}
+
+// askUntil asks a model again and again; the first request that is not
+// answered is told.
+func askUntil(running, ctx context.Context, g *fleet.Node, model string, refused chan<- string) {
+	for running.Err() == nil {
+		if a := ask(ctx, g, model); a.status != http.StatusOK {
+			select {
+			case refused <- fmt.Sprintf("%s answers %d: %s", model, a.status, a.body):
+			default:
+			}
+			return
+		}
+	}
+}
+
+func (f *engineFleet) slowWeights(ctx context.Context, cfg cloud.WeightConfig) {
+	body, err := document.Encode(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	a := send(ctx, http.MethodPost, f.platform.Addr, "/standin/weights", "", string(body), nil)
+	Expect(a.status).To(Equal(http.StatusOK), a.body)
+}
