--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -93,7 +93,7 @@
 		Clock: c.clock, Logger: c.logger, Metrics: planner.NewMetrics(c.registry),
 	})
 	c.publisher.OnDemand(c.planner.DemandReport)
-	c.departures = departure.New(c.platform, c.targets, c.publisher.SetLeaving, c.clock, c.logger)
+	c.departures = departure.New(c.platform, c.targets, c.setLeaving, c.clock, c.logger)
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
@@ -170,7 +170,7 @@
 // targets returns the targets whose departure this controller tells.
 func (c *Controller) targets() map[string]object.Target {
 	objects := c.objects()
-	targets := map[string]object.Target{}
+	targets := c.planner.Targets()
 	for name, t := range objects.Targets {
 		if c.owns(t.Pool) {
 			targets[name] = t
@@ -179,6 +179,12 @@
 	return targets
 }
 
+// setLeaving tells gateways and the planner which targets are leaving.
+func (c *Controller) setLeaving(targets map[string]bool) {
+	c.publisher.SetLeaving(targets)
+	c.planner.SetLeaving(targets)
+}
+
 func (c *Controller) status() any {
 	return struct {
 		Self     member.Member                  `json:"self"`
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,66 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/standin/tablestore"
+)
+
+func TestLease(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "lease")
+}
+
+var _ = Describe("a lease", func() {
+	ctx := context.Background()
+	start := time.Unix(1_000_000, 0)
+	var store *tablestore.Store
+	var first, second *Lease
+	step := func(l *Lease, after time.Duration, rank int) bool {
+		held, err := l.Step(ctx, start.Add(after), rank)
+		Expect(err).NotTo(HaveOccurred())
+		return held
+	}
+	BeforeEach(func() {
+		store = tablestore.New()
+		first, second = New(store, "shard", "first"), New(store, "shard", "second")
+		Expect(step(first, 0, 0)).To(BeTrue())
+	})
+
+	It("stays with a holder that renews it", func() {
+		for i := range 10 {
+			at := time.Duration(i) * time.Second
+			Expect(step(first, at, 0)).To(BeTrue())
+			Expect(step(second, at, 1)).To(BeFalse())
+		}
+	})
+
+	It("passes to another within five seconds, and a thawed holder learns of it", func() {
+		Expect(step(second, time.Second, 1)).To(BeFalse())
+		Expect(step(second, 3*time.Second, 1)).To(BeFalse())
+		Expect(step(second, 5*time.Second, 1)).To(BeTrue())
+		Expect(step(first, 6*time.Second, 0)).To(BeFalse())
+		Expect(step(second, 6*time.Second, 1)).To(BeTrue())
+	})
+
+	It("passes at once when it is released", func() {
+		Expect(step(second, time.Second, 0)).To(BeFalse())
+		Expect(first.Release(ctx)).To(Succeed())
+		Expect(step(second, 2*time.Second, 0)).To(BeTrue())
+	})
+
+	It("stays where it is while the store is out or an answer is lost", func() {
+		store.SetFault(tablestore.Fault{Outage: true})
+		held, err := first.Step(ctx, start.Add(time.Minute), 0)
+		Expect(err).To(HaveOccurred())
+		Expect(held).To(BeTrue())
+		store.SetFault(tablestore.Fault{LoseAnswers: 1})
+		Expect(step(first, time.Minute, 0)).To(BeTrue())
+		Expect(step(first, time.Minute+time.Second, 0)).To(BeTrue())
+	})
+})
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,8 +18,8 @@
 	DataCentre string
 	// Ledger is the record of its memory; it is not changed.
 	Ledger *ledger.Ledger
-	// Reachable engines answered their last report; Down engines have not
-	// answered for long enough to be given up.
+	// Reachable engines answered their last report; Down engines are leaving,
+	// or have not answered for long enough to be given up.
 	Reachable bool
 	Down      bool
 	// Busy engines take no orders now.
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/ledger"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/table"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+// anEngine returns an engine with ten bytes that holds models of five bytes,
+// given as "name@version".
+func anEngine(i int, memory int64, held ...ledger.Weights) Engine {
+	l, err := ledger.Decode(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), table.Row{})
+	Expect(err).NotTo(HaveOccurred())
+	r := &engine.Report{BootID: "life", MemoryBytes: 100, Sequence: 1}
+	for _, w := range held {
+		r.Entries = append(r.Entries, engine.Entry{Kind: w.Kind, Name: w.Name, Version: w.Version, MemoryBytes: 5, State: engine.Loaded})
+	}
+	l.Observe(r, ledger.Engine{MemoryBytes: memory, ChecksFencing: true})
+	return Engine{Target: fmt.Sprintf("e%d", i), VM: fmt.Sprintf("vm%d", i), DataCentre: fmt.Sprintf("dc%d", i%2), Ledger: l, Reachable: true}
+}
+
+func model(name, version string) ledger.Weights {
+	return ledger.Weights{Kind: object.KindModel, Name: name, Version: version}
+}
+
+func input(engines ...Engine) *Input {
+	return &Input{Engines: engines, Loads: 10, AdapterLoads: 10, Settled: true, Now: time.Unix(1_000_000, 0)}
+}
+
+var _ = Describe("placement", func() {
+	It("loads models without a replica first, then second replicas in other data centres", func() {
+		in := input(anEngine(0, 10, model("b", "1")), anEngine(1, 10), anEngine(2, 10))
+		in.Models = []Model{{Name: "a", Version: "1", MemoryBytes: 5}, {Name: "b", Version: "1", MemoryBytes: 5}}
+		in.Loads = 2
+		actions := New().Next(in)
+		Expect(actions).To(HaveLen(2))
+		Expect(actions[0]).To(And(HaveField("Weights.Name", "a"), HaveField("Reason", ReasonUnreachable)))
+		Expect(actions[1]).To(HaveField("Reason", ReasonAtRisk))
+	})
+
+	It("puts no two replicas on one VM", func() {
+		in := input(anEngine(0, 10, model("a", "1")), anEngine(1, 10))
+		in.Engines[1].VM = in.Engines[0].VM
+		in.Models = []Model{{Name: "a", Version: "1", MemoryBytes: 5}}
+		Expect(New().Next(in)).To(BeEmpty())
+	})
+
+	It("evicts a second replica for a model without one, never a last replica", func() {
+		in := input(anEngine(0, 5, model("a", "1")), anEngine(1, 5, model("a", "1")), anEngine(2, 5, model("b", "1")))
+		in.Models = []Model{{Name: "a", Version: "1", MemoryBytes: 5}, {Name: "b", Version: "1", MemoryBytes: 5}, {Name: "c", Version: "1", MemoryBytes: 5}}
+		actions := New().Next(in)
+		Expect(actions).To(HaveLen(1))
+		Expect(actions[0]).To(And(BeAssignableToTypeOf(Unload{}), HaveField("Weights.Name", "a")))
+	})
+
+	It("loads a new version before the old one leaves", func() {
+		in := input(anEngine(0, 10, model("a", "1")), anEngine(1, 10, model("a", "1")))
+		in.Models = []Model{{Name: "a", Version: "2", MemoryBytes: 5}}
+		for _, action := range New().Next(in) {
+			Expect(action).To(BeAssignableToTypeOf(Load{}))
+		}
+		in = input(anEngine(0, 10, model("a", "1"), model("a", "2")), anEngine(1, 10, model("a", "1"), model("a", "2")))
+		in.Models = []Model{{Name: "a", Version: "2", MemoryBytes: 5}}
+		actions := New().Next(in)
+		Expect(actions).To(HaveLen(2))
+		Expect(actions[0]).To(And(BeAssignableToTypeOf(Unload{}), HaveField("Weights.Version", "1")))
+	})
+
+	It("moves for demand only where it pays, and not again at once", func() {
+		now := time.Unix(1_000_000, 0)
+		build := func(hot float64, at time.Time) *Input {
+			in := input(anEngine(0, 10, model("a", "1")), anEngine(1, 10, model("a", "1")), anEngine(2, 20, model("b", "1")), anEngine(3, 20, model("b", "1")))
+			in.Models = []Model{{Name: "a", Version: "1", MemoryBytes: 5, TokensPerSecond: hot}, {Name: "b", Version: "1", MemoryBytes: 5, TokensPerSecond: 1000}}
+			in.Now = at
+			return in
+		}
+		p := New()
+		Expect(p.Next(build(1010, now))).To(BeEmpty())
+		Expect(p.Next(build(4000, now))).To(ConsistOf(HaveField("Reason", ReasonDemand)))
+		Expect(p.Next(build(2300, now.Add(time.Second)))).To(BeEmpty(), "the model has just moved")
+		Expect(New().Next(build(2300, now))).NotTo(BeEmpty())
+	})
+
+	It("loads an adapter where its model serves and evicts idle ones for it", func() {
+		idle := ledger.Weights{Kind: object.KindAdapter, Name: "idle", Version: "1"}
+		in := input(anEngine(0, 10, model("a", "1"), idle), anEngine(1, 10))
+		in.Models = []Model{{Name: "a", Version: "1", MemoryBytes: 5, Replicas: 1}}
+		in.Adapters = []Adapter{
+			{Name: "idle", Model: "a", Version: "1", MemoryBytes: 5},
+			{Name: "new", Model: "a", Version: "1", MemoryBytes: 5, Waiting: 1},
+		}
+		Expect(New().Next(in)).To(ConsistOf(And(BeAssignableToTypeOf(Unload{}), HaveField("Weights", idle))))
+		in.Engines[0] = anEngine(0, 20, model("a", "1"), idle)
+		Expect(New().Next(in)).To(ConsistOf(And(HaveField("Target", "e0"), HaveField("Reason", ReasonAdapter))))
+	})
+})
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -15,7 +15,7 @@
 		return
 	}
 	reason := ReasonWanted
-	switch len(m.confirmed) {
+	switch len(m.replicas()) {
 	case 0:
 		reason = ReasonUnreachable
 	case 1:
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -144,10 +144,10 @@
 	return ordered
 }
 
-// load records a load and reports whether a permit was left.
-func (v *view) load(e *engineView, m *modelView, reason string) bool {
+// load records a load where a permit is left.
+func (v *view) load(e *engineView, m *modelView, reason string) {
 	if v.loads <= 0 {
-		return false
+		return
 	}
 	v.loads--
 	m.spread(-1)
@@ -155,7 +155,6 @@
 	m.coming = append(m.coming, e)
 	m.spread(1)
 	v.actions = append(v.actions, Load{Target: e.Target, Weights: m.weights(), MemoryBytes: m.MemoryBytes, Reason: reason})
-	return true
 }
 
 // unload records an unload; its bytes are free only later.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -67,9 +67,10 @@
 	wake  chan struct{}
 	done  chan struct{}
 
-	mu     sync.Mutex
-	shards map[string]*shardState
-	demand *demand.Demand
+	mu      sync.Mutex
+	shards  map[string]*shardState
+	demand  *demand.Demand
+	leaving map[string]bool
 }
 
 // shardState is a shard that this controller is a candidate for. The
@@ -127,6 +128,14 @@
 	p.demand.Add(gateway, name, tokens, waiting, p.parts.Clock.Now())
 }
 
+// SetLeaving names the targets that are about to go; their models are loaded
+// elsewhere.
+func (p *Planner) SetLeaving(targets map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = targets
+}
+
 // Targets returns the engines of the shards that this controller holds.
 func (p *Planner) Targets() map[string]object.Target {
 	objects := p.parts.Objects()
@@ -174,7 +183,7 @@
 func (p *Planner) plan(ctx context.Context, wg *conc.WaitGroup, s *shardState, objects *object.Set, reports map[string]collector.Collected) error {
 	p.mu.Lock()
 	s.plan.Configure(shardplan.Work{
-		Pool: s.shard.Pool, Objects: objects, Targets: s.shard.Targets, Models: s.shard.Models, Shards: s.shard.Of,
+		Pool: s.shard.Pool, Objects: objects, Targets: s.shard.Targets, Models: s.shard.Models, Shards: s.shard.Of, Leaving: p.leaving,
 	}, p.parts.Clock.Now())
 	unread := s.plan.Unread()
 	p.mu.Unlock()
--- a/internal/shardplan/decide.go
+++ b/internal/shardplan/decide.go
@@ -118,7 +118,7 @@
 			Target: e.target, VM: target.VM, DataCentre: target.DataCentre, Ledger: e.ledger,
 			Reachable: e.reachable && e.report != nil && e.report.BootID == e.ledger.BootID,
 			Busy:      e.busy,
-			Down:      !e.reachable && now.Sub(e.heard) >= p.downAfter,
+			Down:      p.work.Leaving[e.target] || !e.reachable && now.Sub(e.heard) >= p.downAfter,
 		})
 		models += e.loading(object.KindModel)
 		adapters += e.loading(object.KindAdapter)
--- a/internal/shardplan/shardplan.go
+++ b/internal/shardplan/shardplan.go
@@ -36,6 +36,9 @@
 	// to other shards are left alone.
 	Targets []string
 	Models  []string
+	// Leaving names targets that are about to go: their replicas are loaded
+	// elsewhere.
+	Leaving map[string]bool
 	// Shards is the number of shards of the pool, among which the load
 	// permits are split.
 	Shards int
--- /dev/null
+++ b/internal/shardplan/shardplan_test.go
@@ -0,0 +1,122 @@
+package shardplan
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/demand"
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/ledger"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/standin/tablestore"
+	"fireflypier.example/fireflypier/internal/table"
+)
+
+// pair is two engines that both serve model x, over one table.
+type pair struct {
+	store   *tablestore.Store
+	objects *object.Set
+	reports map[netip.AddrPort]*engine.Report
+	now     time.Time
+}
+
+func newPair() *pair {
+	p := &pair{
+		store:   tablestore.New(),
+		objects: (&object.Set{Pools: map[string]object.Pool{"p": {Kind: object.PoolEngines}}}).Clone(),
+		reports: map[netip.AddrPort]*engine.Report{},
+		now:     time.Unix(1_000_000, 0),
+	}
+	p.objects.Models["x"] = object.Model{Pool: "p", Version: "1", MemoryBytes: 5}
+	for i, name := range []string{"a", "b"} {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+		p.objects.Targets[name] = object.Target{Pool: "p", Address: address, VM: name, MemoryBytes: 10, ChecksFencing: true}
+		p.reports[address] = &engine.Report{BootID: name, MemoryBytes: 10, Entries: []engine.Entry{
+			{Kind: object.KindModel, Name: "x", Version: "1", MemoryBytes: 5, State: engine.Loaded},
+		}}
+	}
+	return p
+}
+
+// planner returns a plan that has read the rows and recorded what the engines
+// hold; lowered names an engine whose memory it believes to be too small.
+func (p *pair) planner(lowered string) *Plan {
+	objects := p.objects.Clone()
+	if t, ok := objects.Targets[lowered]; ok {
+		t.MemoryBytes = 2
+		objects.Targets[lowered] = t
+	}
+	ids := 0
+	plan := New(func() string { ids++; return fmt.Sprint(lowered, ids) })
+	plan.Configure(Work{Pool: "p", Objects: objects, Targets: []string{"a", "b"}, Models: []string{"x"}, Shards: 1}, p.now)
+	for _, address := range plan.Unread() {
+		row, err := p.store.Get(context.Background(), ledger.RowKey(address))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(plan.Read(address, row, p.now)).To(Succeed())
+	}
+	for address, r := range p.reports {
+		plan.Report(address, r, p.now)
+	}
+	return plan
+}
+
+func (p *pair) commit(writes []table.Write) error {
+	_, err := table.Commit(context.Background(), p.store, table.NewTx(writes...))
+	return err
+}
+
+// ordersOnly returns the writes of the rows that have orders.
+func ordersOnly(s *Swap) []table.Write {
+	var writes []table.Write
+	for _, part := range s.Parts {
+		if part.HasOrders {
+			writes = append(writes, part.write)
+		}
+	}
+	return writes
+}
+
+var _ = Describe("a shard's plan", func() {
+	swapsOf := func() (p *pair, first, second []*Swap) {
+		p = newPair()
+		for _, s := range p.planner("").Next(demand.New(), p.now) {
+			Expect(p.commit(s.Writes())).To(Succeed())
+		}
+		one, two := p.planner("a"), p.planner("b")
+		return p, one.Next(demand.New(), p.now), two.Next(demand.New(), p.now)
+	}
+
+	It("does not let two planners unload each other's last replica", func() {
+		p, first, second := swapsOf()
+		Expect(first).To(HaveLen(1))
+		Expect(second).To(HaveLen(1))
+		Expect(p.commit(first[0].Writes())).To(Succeed())
+		Expect(failure.Is(p.commit(second[0].Writes()), failure.Conflict)).To(BeTrue())
+	})
+
+	It("would let them without the other replica's row in the transaction", func() {
+		p, first, second := swapsOf()
+		Expect(p.commit(ordersOnly(first[0]))).To(Succeed())
+		Expect(p.commit(ordersOnly(second[0]))).To(Succeed())
+	})
+
+	It("shows operators what is where, what is moving and why, and what is at risk", func() {
+		p := newPair()
+		p.objects.Models["y"] = object.Model{Pool: "p", Version: "1", MemoryBytes: 3}
+		plan := p.planner("")
+		plan.work.Models = []string{"x", "y"}
+		plan.Next(demand.New(), p.now)
+		status := plan.Status(demand.New(), p.now)
+		Expect(status.Models).To(HaveLen(2))
+		Expect(status.Models[0].AtRisk).To(BeFalse())
+		Expect(status.Models[1].Unreachable).To(BeTrue())
+		Expect(status.Engines[0].ReservedBytes).To(BeEquivalentTo(8))
+		Expect(status.Engines[0].Moving).To(ContainElement(HaveField("Reason", "model has no replica")))
+	})
+})
