--- a/cmd/fireflypier/operate.go
+++ b/cmd/fireflypier/operate.go
@@ -59,6 +59,15 @@
 type versionCommand struct{}
 
 func (o *controllerOptions) client() (*operatorclient.Client, error) {
+	addrs, err := o.addresses()
+	if err != nil {
+		return nil, err
+	}
+	return operatorclient.New(addrs, o.Token), nil
+}
+
+// addresses returns the operator addresses of the controllers.
+func (o *controllerOptions) addresses() ([]netip.AddrPort, error) {
 	addrs := make([]netip.AddrPort, 0, len(o.Controllers))
 	for _, text := range o.Controllers {
 		addr, err := netip.ParseAddrPort(text)
@@ -67,7 +76,7 @@
 		}
 		addrs = append(addrs, addr)
 	}
-	return operatorclient.New(addrs, o.Token), nil
+	return addrs, nil
 }
 
 // readEdit merges the objects of several files into one edit.
@@ -156,19 +165,6 @@
 	return printJSON(s.Objects)
 }
 
-// Execute shows the status.
-func (c *statusCommand) Execute([]string) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	status, err := client.Status(context.Background())
-	if err != nil {
-		return err
-	}
-	return printJSON(status)
-}
-
 // Execute shows the state of a process.
 func (c *dumpCommand) Execute([]string) error {
 	answer, err := http.Get("http://" + c.Args.Admin + "/dump")
