--- /dev/null
+++ b/internal/bucket/bucket.go
@@ -0,0 +1,199 @@
+// Package bucket is a token bucket for one fraction of a rate. Tokens can be
+// lent to other buckets and requests can return what they did not use, and
+// still the buckets of one rate together never admit more than its burst plus
+// its rate times the length of any window. docs/DESIGN.md gives the argument.
+package bucket
+
+import "time"
+
+// Bucket is a token bucket. The zero value holds nothing. It is not safe for
+// use by several goroutines. Times passed to it must not go backwards.
+type Bucket struct {
+	rate     float64
+	burst    float64
+	fraction float64
+	updated  time.Time
+
+	// level holds the own tokens, at most capacity() - lent.
+	level float64
+	// lent bounds the value of own tokens that are elsewhere.
+	lent      float64
+	lentDecay float64
+	// borrowed holds tokens of other buckets; their value decays.
+	borrowed      float64
+	borrowedDecay float64
+
+	marks   history
+	charges uint64
+}
+
+// Charge is what one request paid.
+type Charge struct {
+	own      float64
+	borrowed float64
+	decay    float64
+	number   uint64
+	at       time.Time
+}
+
+// SetRate sets the whole rate in tokens a second and the whole burst in
+// tokens. Tokens above a lower burst are dropped.
+func (b *Bucket) SetRate(rate, burst float64, now time.Time) {
+	b.advance(now)
+	b.rate = rate
+	b.burst = burst
+	b.trim()
+}
+
+// SetFraction sets the part of rate and burst that the bucket holds. Tokens
+// above the new capacity are dropped; a larger capacity begins empty.
+func (b *Bucket) SetFraction(fraction float64, now time.Time) {
+	b.advance(now)
+	b.fraction = fraction
+	b.trim()
+}
+
+// Fill adds tokens that belong to the bucket's own capacity, up to it.
+func (b *Bucket) Fill(tokens float64, now time.Time) {
+	b.advance(now)
+	b.level = min(b.level+tokens, b.room())
+	b.trim()
+}
+
+// Reserve counts a part of the capacity as lent, for a fraction whose former
+// holder may have lent tokens that are still in use.
+func (b *Bucket) Reserve(fraction float64, now time.Time) {
+	b.advance(now)
+	b.lend(fraction*b.burst, fraction*b.rate)
+	b.trim()
+}
+
+// Available returns the tokens that a request can take.
+func (b *Bucket) Available(now time.Time) float64 {
+	b.advance(now)
+	return b.level + b.borrowed
+}
+
+// Level returns the own tokens, and Lent the bound on those lent.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.advance(now)
+	return b.level
+}
+
+// Lent returns the bound on the value of the tokens lent.
+func (b *Bucket) Lent(now time.Time) float64 {
+	b.advance(now)
+	return b.lent
+}
+
+// Refill returns the tokens a second that the bucket gains.
+func (b *Bucket) Refill() float64 { return b.rate * b.fraction }
+
+// Take pays tokens, borrowed ones first; ok is false when they are not there.
+func (b *Bucket) Take(tokens float64, now time.Time) (c Charge, ok bool) {
+	b.advance(now)
+	if b.level+b.borrowed < tokens {
+		return Charge{}, false
+	}
+	b.mark()
+	c = Charge{
+		borrowed: min(tokens, b.borrowed),
+		decay:    b.borrowedDecay,
+		number:   b.charges,
+		at:       now,
+	}
+	c.own = tokens - c.borrowed
+	b.borrowed -= c.borrowed
+	b.level = max(0, b.level-c.own)
+	return c, true
+}
+
+// Settle returns what the request of c did not use, as if it had not been
+// charged: what would have overflowed since is not returned.
+func (b *Bucket) Settle(c Charge, used float64, now time.Time) {
+	b.advance(now)
+	unused := max(0, c.own+c.borrowed-used)
+	own := min(unused, c.own)
+	b.level += min(b.marks.restore(c.number, own), b.headroom())
+	elapsed := now.Sub(c.at).Seconds()
+	b.Borrow(unused-own-c.decay*elapsed, c.decay, now)
+	b.trim()
+}
+
+// Lend gives up to tokens of the bucket's own to another bucket. They lose
+// value there at decay tokens a second, from before Lend was called.
+func (b *Bucket) Lend(tokens float64, now time.Time) (lent, decay float64) {
+	b.advance(now)
+	lent = max(0, min(tokens, b.level))
+	decay = b.Refill()
+	if lent == 0 || decay == 0 {
+		return 0, 0
+	}
+	b.level -= lent
+	b.lend(lent, decay)
+	return lent, decay
+}
+
+// Withdraw removes up to tokens of the bucket's own, to be moved together
+// with a part of its capacity, and returns how many it removed.
+func (b *Bucket) Withdraw(tokens float64, now time.Time) float64 {
+	b.advance(now)
+	tokens = max(0, min(tokens, b.level))
+	b.mark()
+	b.level -= tokens
+	return tokens
+}
+
+// Borrow adds tokens of another bucket that lose decay a second.
+func (b *Bucket) Borrow(tokens, decay float64, now time.Time) {
+	b.advance(now)
+	if tokens <= 0 {
+		return
+	}
+	b.borrowed += tokens
+	b.borrowedDecay += decay
+}
+
+func (b *Bucket) lend(tokens, decay float64) {
+	if b.lent == 0 || decay < b.lentDecay {
+		b.lentDecay = decay
+	}
+	b.lent += tokens
+}
+
+// advance brings the bucket to now.
+func (b *Bucket) advance(now time.Time) {
+	elapsed := now.Sub(b.updated).Seconds()
+	if b.updated.IsZero() || elapsed <= 0 {
+		if b.updated.IsZero() {
+			b.updated = now
+		}
+		return
+	}
+	b.updated = now
+	b.lent = max(0, b.lent-b.lentDecay*elapsed)
+	b.borrowed = max(0, b.borrowed-b.borrowedDecay*elapsed)
+	if b.borrowed == 0 {
+		b.borrowedDecay = 0
+	}
+	if gained := b.level + b.Refill()*elapsed; gained > b.level {
+		b.level = max(b.level, min(gained, b.room()))
+	}
+}
+
+// room returns the bound on level.
+func (b *Bucket) room() float64 { return max(0, b.burst*b.fraction-b.lent) }
+
+func (b *Bucket) headroom() float64 { return max(0, b.room()-b.level) }
+
+// trim drops tokens above the capacity.
+func (b *Bucket) trim() {
+	b.level = min(b.level, b.room())
+	b.mark()
+}
+
+// mark records the headroom, for later settlements.
+func (b *Bucket) mark() {
+	b.charges++
+	b.marks.add(b.charges, b.headroom())
+}
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,262 @@
+// Package share is the protocol by which gateways divide the rate of one
+// customer: pure decisions, without sockets, files or timers. The caller
+// passes in the time, reads and swaps the share row, and carries tokens
+// between gateways.
+//
+// The holders' parts of a row add up to one whole at most, and each gateway
+// uses at most the parts that the row gives it: who gives lowers its own use
+// before the swap, who receives begins when it has seen the row.
+package share
+
+import (
+	"maps"
+	"time"
+
+	"fireflypier.example/fireflypier/internal/bucket"
+)
+
+// Witness tells what the members of a region know of each other's silence.
+type Witness interface {
+	// Answered returns when the last exchange began in which a majority of
+	// the own region, this process included, answered this process. A
+	// member that has given its word for the silence of an incarnation must
+	// not answer it from then on, nor may a member answer within the bound
+	// after its own start, since it forgot what its predecessor gave.
+	Answered() time.Time
+	// Silent reports whether a majority of the holder's region gives its
+	// word that it has not heard the incarnation for at least the bound. A
+	// member can give its word only when its own start is longer ago.
+	Silent(h *Holder) bool
+}
+
+// Share is one gateway's part in the rate of one customer. It is not safe for
+// use by several goroutines. Times passed to it must not go backwards.
+type Share struct {
+	self    Holder
+	bound   time.Duration
+	witness Witness
+
+	bucket bucket.Bucket
+	rate   float64
+	burst  float64
+	inUse  int64
+
+	row     Row
+	version int64
+	read    bool
+	readAt  time.Time
+	// proved is when the share was last known to be the gateway's own.
+	proved    time.Time
+	received  float64
+	pending   *Proposal
+	uncertain bool
+	markedAt  time.Time
+	movedAt   time.Time
+
+	demand  demand
+	wants   map[string]want
+	leaving bool
+}
+
+// Option changes a Share under construction.
+type Option func(*Share)
+
+// WithWitness lets shares of silent holders be taken back. A gateway then
+// uses its share only while it has seen its row, or was answered by a
+// majority of its region, within the bound. Without a witness the share of a
+// holder stays its own until a later process of its name and address reads
+// the row.
+func WithWitness(w Witness, bound time.Duration) Option {
+	return func(s *Share) {
+		s.witness = w
+		s.bound = bound
+	}
+}
+
+// New returns the share of a gateway that holds nothing yet.
+func New(self Holder, opts ...Option) *Share {
+	s := &Share{self: self, wants: map[string]want{}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// SetRate sets the customer's whole rate in tokens a second and its burst in
+// tokens.
+func (s *Share) SetRate(rate, burst float64, now time.Time) {
+	s.rate = rate
+	s.burst = burst
+	s.bucket.SetRate(rate, burst, now)
+}
+
+// Ask counts tokens that a request asks for towards the demand.
+func (s *Share) Ask(tokens float64, now time.Time) { s.demand.add(tokens, now) }
+
+// Take charges a request; ok is false when the tokens are not there.
+func (s *Share) Take(tokens float64, now time.Time) (c bucket.Charge, ok bool) {
+	if !s.Usable(now) {
+		return bucket.Charge{}, false
+	}
+	return s.bucket.Take(tokens, now)
+}
+
+// Settle returns what the request of c did not use.
+func (s *Share) Settle(c bucket.Charge, used float64, now time.Time) {
+	s.bucket.Settle(c, used, now)
+}
+
+// Available returns the tokens that a request can take.
+func (s *Share) Available(now time.Time) float64 {
+	if !s.Usable(now) {
+		return 0
+	}
+	return s.bucket.Available(now)
+}
+
+// Usable reports whether nobody can have taken the share back. Once the bound
+// has passed without a proof, only a new read of the row makes it usable.
+func (s *Share) Usable(now time.Time) bool {
+	if s.witness == nil {
+		return true
+	}
+	if s.row.Suspect == s.self.Incarnation || now.Sub(s.proved) > s.bound {
+		return false
+	}
+	if answered := s.witness.Answered(); answered.After(s.proved) {
+		s.proved = answered
+	}
+	return true
+}
+
+// Give answers a peer that lacks tokens and tells its demand. The peer must
+// have counted the time from before it asked.
+func (s *Share) Give(to Holder, tokens, demanded float64, now time.Time) (given, decay float64) {
+	s.wants[to.Incarnation] = want{holder: to, demand: demanded, told: now}
+	if !s.Usable(now) {
+		return 0, 0
+	}
+	return s.bucket.Lend(tokens, now)
+}
+
+// Receive adds the tokens of a peer's answer to a question asked at a time.
+func (s *Share) Receive(tokens, decay float64, asked, now time.Time) {
+	s.bucket.Borrow(tokens-decay*now.Sub(asked).Seconds(), decay, now)
+}
+
+// Observe takes in the row as it was at a version; a row that does not exist
+// has version zero. readAt is when the read began, or zero for a row that a
+// peer told.
+func (s *Share) Observe(row Row, version int64, readAt, now time.Time) {
+	if version < s.version {
+		return
+	}
+	if !readAt.IsZero() {
+		s.read = true
+		s.readAt = readAt
+		if row.Suspect != s.self.Incarnation && readAt.After(s.proved) {
+			s.proved = readAt
+		}
+	}
+	if version > s.version {
+		s.adopt(row, version, now)
+	}
+}
+
+// adopt puts a newer row in force. Whatever was pending can no longer take
+// effect, since it expected the older version.
+func (s *Share) adopt(row Row, version int64, now time.Time) {
+	claimed := s.pending != nil && s.pending.claimed > 0
+	s.pending = nil
+	s.uncertain = false
+	if row.Suspect != s.row.Suspect || row.Accuser != s.row.Accuser {
+		s.markedAt = now
+	}
+	s.row = row
+	s.version = version
+	mine, _ := row.Holder(s.self.Incarnation)
+	gained := mine.Parts - s.inUse
+	s.use(mine.Parts, now)
+	if gained > 0 && claimed {
+		s.bucket.Reserve(fractionOf(gained), now)
+	}
+	if mine.Received > s.received {
+		s.bucket.Fill(mine.Received-s.received, now)
+	}
+	s.received = mine.Received
+}
+
+// use sets the parts that the gateway uses.
+func (s *Share) use(parts int64, now time.Time) {
+	s.inUse = parts
+	s.bucket.SetFraction(fractionOf(parts), now)
+}
+
+func fractionOf(parts int64) float64 { return float64(parts) / Whole }
+
+// Leave makes the gateway give its share away and ask for none.
+func (s *Share) Leave() { s.leaving = true }
+
+// State is what dumps and metrics show of a share.
+type State struct {
+	// Parts is the gateway's share out of Whole, as it uses it now.
+	Parts int64 `json:"parts"`
+	// Tokens are there now; Lent bounds the value of those at peers.
+	Tokens float64 `json:"tokens"`
+	Lent   float64 `json:"lent"`
+	// Demand is in tokens a second.
+	Demand float64 `json:"demand"`
+	// Row and Version are the newest that the gateway knows.
+	Row     Row   `json:"row"`
+	Version int64 `json:"version"`
+	// Pending tells that a swap has no known outcome.
+	Pending bool `json:"pending"`
+}
+
+// State returns the present state.
+func (s *Share) State(now time.Time) State {
+	return State{
+		Parts:   s.inUse,
+		Tokens:  s.Available(now),
+		Lent:    s.bucket.Lent(now),
+		Demand:  s.Demand(now),
+		Row:     s.row.clone(),
+		Version: s.version,
+		Pending: s.pending != nil,
+	}
+}
+
+// Demand returns the tokens a second that requests ask for here.
+func (s *Share) Demand(now time.Time) float64 {
+	s.demand.roll(now)
+	return s.demand.rate
+}
+
+// Parts returns the share out of Whole that the gateway uses.
+func (s *Share) Parts() int64 { return s.inUse }
+
+// Version returns the version of the newest known row, and whether the store
+// was ever read.
+func (s *Share) Version() (version int64, read bool) { return s.version, s.read }
+
+// ReadAt returns when the last read of the row began.
+func (s *Share) ReadAt() time.Time { return s.readAt }
+
+// Peers returns the other holders.
+func (s *Share) Peers() []Holder {
+	peers := make([]Holder, 0, len(s.row.Holders))
+	for _, h := range s.row.Holders {
+		if h.Incarnation != s.self.Incarnation && h.Parts > 0 {
+			peers = append(peers, h)
+		}
+	}
+	return peers
+}
+
+// Row returns the newest known row.
+func (s *Share) Row() Row { return s.row.clone() }
+
+// expire forgets demands of peers that are old.
+func (s *Share) expire(now time.Time) {
+	maps.DeleteFunc(s.wants, func(_ string, w want) bool { return now.Sub(w.told) > wantLifetime })
+}
