--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -1,4 +1,7 @@
-// Package limiter charges requests against the rates of their customers.
+// Package limiter charges requests against the rates of their customers. It
+// runs the share protocol for every customer that sends requests here: it
+// reads and swaps the share rows, and pulls tokens from other gateways for
+// requests that wait.
 package limiter
 
 import (
@@ -6,32 +9,92 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
 
+	"fireflypier.example/fireflypier/internal/bucket"
 	"fireflypier.example/fireflypier/internal/catalog"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/share"
+	"fireflypier.example/fireflypier/internal/share/sharepb"
+	"fireflypier.example/fireflypier/internal/table"
 )
 
+const (
+	// reconcileInterval is the time between two looks at all shares.
+	reconcileInterval = 500 * time.Millisecond
+	// holderReadInterval is the time between two reads of a row in which
+	// this gateway holds a share.
+	holderReadInterval = 2 * time.Second
+	// maxWait bounds the time that a request waits for tokens.
+	maxWait = 500 * time.Millisecond
+	// leastRetryAfter is the least advice of a refusal.
+	leastRetryAfter = 50 * time.Millisecond
+)
+
+// Peers carries pulls to other gateways.
+type Peers interface {
+	// Pull asks the gateway of a holder for tokens.
+	Pull(ctx context.Context, h *share.Holder, req *sharepb.PullRequest) (*sharepb.PullReply, error)
+}
+
+// Parts are what a limiter stands on.
+type Parts struct {
+	// Clock and Logger serve all customers.
+	Clock  clockwork.Clock
+	Logger hclog.Logger
+	// Table holds the share rows.
+	Table table.Table
+	// Peers reaches other gateways.
+	Peers Peers
+	// Self names this gateway's process.
+	Self share.Holder
+	// Gateways returns the other gateways to ask about a customer whose row
+	// cannot be read, best first. They need not hold a share.
+	Gateways func(customer string) []share.Holder
+	// Fresh returns an error while this gateway may admit nothing.
+	Fresh func() error
+}
+
 // Limiter holds this gateway's part of each customer's rate. Its methods may
 // be called at the same time.
 type Limiter struct {
-	clock clockwork.Clock
+	parts   Parts
+	options []share.Option
+	counts  *counts
+	ctx     context.Context
+	stop    context.CancelFunc
+	pullers conc.WaitGroup
+	done    chan struct{}
 
-	mu       sync.Mutex
-	fraction float64
-	catalog  *catalog.Catalog
-	buckets  map[string]*bucket
+	mu        sync.RWMutex
+	catalog   *catalog.Catalog
+	customers map[string]*customer
 }
 
-type bucket struct {
-	tokens  float64
-	updated time.Time
+// Option changes a Limiter under construction.
+type Option func(*Limiter)
+
+// WithWitness lets shares of silent gateways be taken back; see
+// share.WithWitness.
+func WithWitness(w share.Witness, bound time.Duration) Option {
+	return func(l *Limiter) { l.options = append(l.options, share.WithWitness(w, bound)) }
 }
 
-// New returns a limiter that grants a fixed fraction of every rate.
-func New(clock clockwork.Clock, fraction float64) *Limiter {
-	return &Limiter{clock: clock, fraction: fraction, buckets: map[string]*bucket{}}
+// New returns a limiter that holds no share yet. Call SetCatalog before the
+// first Take, and Run.
+func New(p Parts, opts ...Option) *Limiter {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Limiter{
+		parts: p, counts: newCounts(), ctx: ctx, stop: stop,
+		done: make(chan struct{}), customers: map[string]*customer{},
+	}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
 }
 
 // SetCatalog gives the limiter the rates in force.
@@ -39,56 +102,138 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.catalog = c
+	for name, cu := range l.customers {
+		if rate, ok := c.Rate(name); ok {
+			cu.setRate(rate)
+		}
+	}
 }
 
 // Charge is what a request has paid.
 type Charge struct {
-	limiter  *Limiter
-	customer string
-	tokens   float64
+	customer *customer
+	charge   bucket.Charge
 }
 
-// Take charges a customer with tokens. The errors are RateExceeded, with the
-// time after which the tokens will be there, and RequestTooCostly.
-func (l *Limiter) Take(_ context.Context, customer string, tokens float64) (*Charge, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	rate, ok := l.catalog.Rate(customer)
-	if !ok {
-		return nil, failure.New(failure.Internal, "customer %s has no rate", customer)
+// Take charges a customer with tokens; a request that lacks tokens waits a
+// short time for them. The errors are RateExceeded, with the time after which
+// the tokens will be there, RequestTooCostly, StaleConfiguration and Canceled.
+func (l *Limiter) Take(ctx context.Context, customer string, tokens float64) (Charge, error) {
+	cu, err := l.customer(customer)
+	if err != nil {
+		return Charge{}, err
 	}
-	if tokens > rate.BurstTokens {
-		return nil, failure.New(failure.RequestTooCostly, "the request costs %.0f tokens, the burst is %.0f", tokens, rate.BurstTokens)
+	if err := l.parts.Fresh(); err != nil {
+		return Charge{}, err
 	}
-	b := l.refill(customer, rate)
-	if b.tokens < tokens {
-		wait := time.Duration((tokens - b.tokens) / (rate.TokensPerSecond * l.fraction) * float64(time.Second))
-		return nil, failure.New(failure.RateExceeded, "the rate of customer %s is used up", customer).WithRetryAfter(wait)
+	w, charge, err := cu.take(tokens)
+	if w == nil {
+		return charge, err
 	}
-	b.tokens -= tokens
-	return &Charge{limiter: l, customer: customer, tokens: tokens}, nil
+	return cu.wait(ctx, w)
 }
 
-// refill brings a bucket up to now. The mutex is held.
-func (l *Limiter) refill(customer string, rate object.Rate) *bucket {
-	now := l.clock.Now()
-	b, ok := l.buckets[customer]
+// customer returns the state of a customer, which begins with its first
+// request.
+func (l *Limiter) customer(name string) (*customer, error) {
+	l.mu.RLock()
+	cu, ok := l.customers[name]
+	l.mu.RUnlock()
+	if ok {
+		return cu, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cu, ok := l.customers[name]; ok {
+		return cu, nil
+	}
+	rate, ok := l.rate(name)
 	if !ok {
-		b = &bucket{tokens: rate.BurstTokens * l.fraction, updated: now}
-		l.buckets[customer] = b
+		return nil, failure.New(failure.Internal, "customer %s has no rate", name)
 	}
-	gained := now.Sub(b.updated).Seconds() * rate.TokensPerSecond * l.fraction
-	b.tokens = min(b.tokens+gained, rate.BurstTokens*l.fraction)
-	b.updated = now
-	return b
+	cu = newCustomer(l, name, rate)
+	l.customers[name] = cu
+	return cu, nil
+}
+
+func (l *Limiter) rate(name string) (object.Rate, bool) {
+	if l.catalog == nil {
+		return object.Rate{}, false
+	}
+	return l.catalog.Rate(name)
 }
 
 // Settle gives back what the request did not use. It may be called once.
 func (c *Charge) Settle(used float64) {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	b, ok := c.limiter.buckets[c.customer]
-	if ok && used < c.tokens {
-		b.tokens += c.tokens - used
+	if c.customer != nil {
+		c.customer.settle(c.charge, used)
+	}
+}
+
+// Run keeps the shares in step with the table until ctx ends. It may be
+// called once.
+func (l *Limiter) Run(ctx context.Context) {
+	defer close(l.done)
+	defer l.pullers.Wait()
+	defer l.stop()
+	ticker := l.parts.Clock.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+			l.reconcile(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Done is closed when Run has returned.
+func (l *Limiter) Done() <-chan struct{} { return l.done }
+
+// reconcileAtOnce bounds the rows that are read and swapped at a time.
+const reconcileAtOnce = 16
+
+// reconcile looks at every customer once.
+func (l *Limiter) reconcile(ctx context.Context) {
+	slots := make(chan struct{}, reconcileAtOnce)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for _, cu := range l.all() {
+		if !cu.due() {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			cu.reconcile(ctx)
+		})
+	}
+}
+
+func (l *Limiter) all() []*customer {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	customers := make([]*customer, 0, len(l.customers))
+	for _, cu := range l.customers {
+		customers = append(customers, cu)
+	}
+	return customers
+}
+
+// Release gives every share away, for a gateway that leaves and admits no
+// more requests.
+func (l *Limiter) Release(ctx context.Context) {
+	for _, cu := range l.all() {
+		cu.release(ctx)
+	}
+}
+
+// Shares returns the state of every share, for dumps.
+func (l *Limiter) Shares() map[string]share.State {
+	shares := map[string]share.State{}
+	for _, cu := range l.all() {
+		shares[cu.name] = cu.state()
 	}
+	return shares
 }
--- a/internal/share/schedule_test.go
+++ b/internal/share/schedule_test.go
@@ -93,7 +93,7 @@
 	func(w *world, _ *gateway, n int) { // settle
 		if len(w.charges) > 0 {
 			i := n % len(w.charges)
-			if w.charges[i].gateway.runs() {
+			if c := w.charges[i]; c.gateway.runs() && c.gateway.life == c.life {
 				w.settle(i, float64(n%4)/4)
 			}
 		}
@@ -159,6 +159,12 @@
 		s := steps[state%uint64(len(steps))]
 		g := w.gateways[state>>16%gateways]
 		s(w, g, int(state>>32%997))
+		w.checkUse()
+	}
+	for _, g := range w.gateways {
+		if g.runs() {
+			drain(w, g, 0)
+		}
 	}
 	return w
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -239,6 +239,14 @@
 // was ever read.
 func (s *Share) Version() (version int64, read bool) { return s.version, s.read }
 
+// Unsettled reports whether the outcome of a swap is not known yet.
+func (s *Share) Unsettled() bool { return s.pending != nil }
+
+// Lacks reports whether requests ask for more here than the share yields.
+func (s *Share) Lacks(now time.Time) bool {
+	return s.wanted(now) && s.Demand(now) > s.bucket.Refill()
+}
+
 // ReadAt returns when the last read of the row began.
 func (s *Share) ReadAt() time.Time { return s.readAt }
 
--- a/internal/share/world_test.go
+++ b/internal/share/world_test.go
@@ -43,6 +43,7 @@
 
 type openCharge struct {
 	gateway *gateway
+	life    int
 	charge  bucket.Charge
 	index   int
 }
@@ -71,6 +72,8 @@
 	to   *gateway
 	life int
 	run  func()
+	// once marks what a connection carries once at most.
+	once bool
 }
 
 type world struct {
@@ -185,7 +188,7 @@
 	if !gone && e.to != nil && e.to.paused {
 		return
 	}
-	if !keep {
+	if !keep || e.once {
 		w.events = append(w.events[:i:i], w.events[i+1:]...)
 	}
 	if !gone {
@@ -200,7 +203,7 @@
 	if !ok {
 		return
 	}
-	g.w.charges = append(g.w.charges, openCharge{g, c, len(g.w.admitted)})
+	g.w.charges = append(g.w.charges, openCharge{g, g.life, c, len(g.w.admitted)})
 	g.w.admitted = append(g.w.admitted, admission{now, tokens})
 }
 
@@ -253,6 +256,7 @@
 		outcome, version := g.w.commit(row, expect)
 		g.w.send(g, func() { g.swapped(number, outcome, version) })
 	})
+	g.w.events[len(g.w.events)-1].once = true
 }
 
 func (w *world) commit(row share.Row, expect int64) (share.Outcome, int64) {
@@ -345,6 +349,20 @@
 	}
 }
 
+// checkUse notes when the shares in use, paused processes' included, are more
+// than the whole.
+func (w *world) checkUse() {
+	var used int64
+	for _, g := range w.gateways {
+		if g.alive && g.share.Usable(w.now) {
+			used += g.share.Parts()
+		}
+	}
+	if used > share.Whole {
+		w.broken = fmt.Sprintf("%d parts are in use", used)
+	}
+}
+
 // excess returns by how many tokens some window exceeds its bound.
 func (w *world) excess() float64 {
 	worst, sum := 0.0, 0.0
