--- a/internal/plainroute/plainroute.go
+++ b/internal/plainroute/plainroute.go
@@ -30,6 +30,10 @@
 	copyBufferBytes    = 32 << 10
 )
 
+// headerCustomer tells a target for which customer a request runs; it is
+// empty on open routes.
+const headerCustomer = "X-Customer"
+
 // droppedHeaders are never sent to a target: they carry keys or belong to
 // one connection.
 var droppedHeaders = []string{
@@ -46,6 +50,8 @@
 	// Admission checks keys, Limiter charges.
 	Admission *admission.Admission
 	Limiter   *limiter.Limiter
+	// Leaving reports whether a target takes no new work.
+	Leaving func(target string) bool
 	// MaxBodyBytes and Timeout bound requests whose route names no bounds.
 	MaxBodyBytes int64
 	Timeout      time.Duration
@@ -99,6 +105,7 @@
 			return err
 		}
 	}
+	r.Header.Set(headerCustomer, ticket.Customer)
 	target, err := s.choose(&route)
 	if err != nil {
 		return err
@@ -118,9 +125,9 @@
 
 func (s *Routes) choose(route *catalog.Route) (object.Target, error) {
 	objects := &s.parts.Admission.Catalog().Snapshot().Objects
-	names := objects.PoolTargets(route.Pool)
+	names := slices.DeleteFunc(objects.PoolTargets(route.Pool), s.parts.Leaving)
 	if len(names) == 0 {
-		return object.Target{}, failure.New(failure.NoReplica, "pool %s has no targets", route.Pool)
+		return object.Target{}, failure.New(failure.NoReplica, "pool %s has no target that takes work", route.Pool)
 	}
 	return objects.Targets[names[s.next.Add(1)%uint64(len(names))]], nil
 }
