Let pulled tokens expire instead of decaying

Cause: a pull's tokens lost the lender's whole refill per second while under way; at 100,000 tokens a second one millisecond cost 100 tokens, more than a small request asks for, and tests/path_test.go was refused inside its rate.

--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -6,6 +6,14 @@
 
 import "time"
 
+// LoanLifetime is how long borrowed tokens may be used, counted from before
+// they were asked for.
+const LoanLifetime = 200 * time.Millisecond
+
+// loanHold is how long the lender counts them, by its own clock. The margin
+// is for clocks that differ in speed.
+const loanHold = LoanLifetime * 5 / 4
+
 // Bucket is a token bucket. The zero value holds nothing. It is not safe for
 // use by several goroutines. Times passed to it must not go backwards.
 type Bucket struct {
@@ -16,12 +24,14 @@
 
 	// level holds the own tokens, at most capacity() - lent.
 	level float64
-	// lent bounds the value of own tokens that are elsewhere.
-	lent      float64
-	lentDecay float64
-	// borrowed holds tokens of other buckets; their value decays.
-	borrowed      float64
-	borrowedDecay float64
+	// lent holds own tokens that are elsewhere, in two generations: the new
+	// one becomes the old one, and the old one is forgotten, every loanHold.
+	lentNew float64
+	lentOld float64
+	turn    time.Time
+	// borrowed holds tokens of other buckets until they expire.
+	borrowed float64
+	expires  time.Time
 
 	marks   history
 	charges uint64
@@ -31,9 +41,8 @@
 type Charge struct {
 	own      float64
 	borrowed float64
-	decay    float64
+	expires  time.Time
 	number   uint64
-	at       time.Time
 }
 
 // SetRate sets the whole rate in tokens a second and the whole burst in
@@ -64,7 +73,7 @@
 // holder may have lent tokens that are still in use.
 func (b *Bucket) Reserve(fraction float64, now time.Time) {
 	b.advance(now)
-	b.lend(fraction*b.burst, fraction*b.rate)
+	b.lend(fraction*b.burst, now)
 	b.trim()
 }
 
@@ -74,18 +83,20 @@
 	return b.level + b.borrowed
 }
 
-// Level returns the own tokens, and Lent the bound on those lent.
+// Level returns the own tokens.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.advance(now)
 	return b.level
 }
 
-// Lent returns the bound on the value of the tokens lent.
+// Lent returns the tokens that are counted as lent.
 func (b *Bucket) Lent(now time.Time) float64 {
 	b.advance(now)
-	return b.lent
+	return b.lent()
 }
 
+func (b *Bucket) lent() float64 { return b.lentNew + b.lentOld }
+
 // Refill returns the tokens a second that the bucket gains.
 func (b *Bucket) Refill() float64 { return b.rate * b.fraction }
 
@@ -98,9 +109,8 @@
 	b.mark()
 	c = Charge{
 		borrowed: min(tokens, b.borrowed),
-		decay:    b.borrowedDecay,
+		expires:  b.expires,
 		number:   b.charges,
-		at:       now,
 	}
 	c.own = tokens - c.borrowed
 	b.borrowed -= c.borrowed
@@ -115,23 +125,18 @@
 	unused := max(0, c.own+c.borrowed-used)
 	own := min(unused, c.own)
 	b.level += min(b.marks.restore(c.number, own), b.headroom())
-	elapsed := now.Sub(c.at).Seconds()
-	b.Borrow(unused-own-c.decay*elapsed, c.decay, now)
+	b.Borrow(unused-own, c.expires, now)
 	b.trim()
 }
 
-// Lend gives up to tokens of the bucket's own to another bucket. They lose
-// value there at decay tokens a second, from before Lend was called.
-func (b *Bucket) Lend(tokens float64, now time.Time) (lent, decay float64) {
+// Lend gives up to tokens of the bucket's own to another bucket, where they
+// expire LoanLifetime after the time before which they were asked for.
+func (b *Bucket) Lend(tokens float64, now time.Time) (lent float64) {
 	b.advance(now)
 	lent = max(0, min(tokens, b.level))
-	decay = b.Refill()
-	if lent == 0 || decay == 0 {
-		return 0, 0
-	}
 	b.level -= lent
-	b.lend(lent, decay)
-	return lent, decay
+	b.lend(lent, now)
+	return lent
 }
 
 // Withdraw removes up to tokens of the bucket's own, to be moved together
@@ -144,45 +149,55 @@
 	return tokens
 }
 
-// Borrow adds tokens of another bucket that lose decay a second.
-func (b *Bucket) Borrow(tokens, decay float64, now time.Time) {
+// Borrow adds tokens of another bucket that expire at a time.
+func (b *Bucket) Borrow(tokens float64, expires, now time.Time) {
 	b.advance(now)
-	if tokens <= 0 {
+	if tokens <= 0 || !now.Before(expires) {
 		return
 	}
+	if b.borrowed == 0 || expires.Before(b.expires) {
+		b.expires = expires
+	}
 	b.borrowed += tokens
-	b.borrowedDecay += decay
 }
 
-func (b *Bucket) lend(tokens, decay float64) {
-	if b.lent == 0 || decay < b.lentDecay {
-		b.lentDecay = decay
+func (b *Bucket) lend(tokens float64, now time.Time) {
+	if b.lent() == 0 {
+		b.turn = now.Add(loanHold)
 	}
-	b.lent += tokens
+	b.lentNew += tokens
 }
 
 // advance brings the bucket to now.
 func (b *Bucket) advance(now time.Time) {
+	for b.lent() > 0 && !now.Before(b.turn) {
+		b.refill(b.turn)
+		b.mark()
+		b.lentOld = b.lentNew
+		b.lentNew = 0
+		b.turn = b.turn.Add(loanHold)
+	}
+	b.refill(now)
+	if !now.Before(b.expires) {
+		b.borrowed = 0
+	}
+}
+
+// refill adds the tokens gained until now.
+func (b *Bucket) refill(now time.Time) {
+	if b.updated.IsZero() {
+		b.updated = now
+	}
 	elapsed := now.Sub(b.updated).Seconds()
-	if b.updated.IsZero() || elapsed <= 0 {
-		if b.updated.IsZero() {
-			b.updated = now
-		}
+	if elapsed <= 0 {
 		return
 	}
 	b.updated = now
-	b.lent = max(0, b.lent-b.lentDecay*elapsed)
-	b.borrowed = max(0, b.borrowed-b.borrowedDecay*elapsed)
-	if b.borrowed == 0 {
-		b.borrowedDecay = 0
-	}
-	if gained := b.level + b.Refill()*elapsed; gained > b.level {
-		b.level = max(b.level, min(gained, b.room()))
-	}
+	b.level = max(b.level, min(b.level+b.Refill()*elapsed, b.room()))
 }
 
 // room returns the bound on level.
-func (b *Bucket) room() float64 { return max(0, b.burst*b.fraction-b.lent) }
+func (b *Bucket) room() float64 { return max(0, b.burst*b.fraction-b.lent()) }
 
 func (b *Bucket) headroom() float64 { return max(0, b.room()-b.level) }
 
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -5,20 +5,22 @@
 
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/member"
+	"fireflypier.example/fireflypier/internal/share"
 )
 
 // dump returns the state that GET /dump shows. It holds no key.
 func (g *Gateway) dump() any {
 	age, vouched := g.adoption.Age()
 	return struct {
-		Self          member.Member     `json:"self"`
-		Revision      int64             `json:"revision"`
-		Digest        string            `json:"digest"`
-		Vouched       bool              `json:"vouched"`
-		VouchedAge    time.Duration     `json:"vouched_age"`
-		Members       []member.Member   `json:"members"`
-		EngineViews   []engineview.View `json:"engine_views"`
-		CallerAddress string            `json:"caller_address"`
+		Self          member.Member          `json:"self"`
+		Revision      int64                  `json:"revision"`
+		Digest        string                 `json:"digest"`
+		Vouched       bool                   `json:"vouched"`
+		VouchedAge    time.Duration          `json:"vouched_age"`
+		Members       []member.Member        `json:"members"`
+		Shares        map[string]share.State `json:"shares"`
+		EngineViews   []engineview.View      `json:"engine_views"`
+		CallerAddress string                 `json:"caller_address"`
 	}{
 		Self:          g.membership.Self(),
 		Revision:      g.adoption.Current().Revision(),
@@ -26,6 +28,7 @@
 		Vouched:       vouched,
 		VouchedAge:    age,
 		Members:       g.membership.All(),
+		Shares:        g.limiter.Shares(),
 		EngineViews:   g.views.All(),
 		CallerAddress: g.Addr().String(),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"fireflypier.example/fireflypier/internal/publication"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/share/sharepb"
 )
 
 // Gateway is one gateway process.
@@ -53,6 +54,7 @@
 	views      *engineview.Views
 	entry      *entryPoint
 	leaving    atomic.Bool
+	limiter    *limiter.Limiter
 	subscriber *feed.Subscriber
 	peers      *peer.Server
 	dialer     *peer.Dialer
@@ -88,6 +90,7 @@
 	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
 	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
+	g.limiter = g.newLimiter()
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -102,6 +105,10 @@
 	if err != nil {
 		return err
 	}
+	if err := sharepb.DRPCRegisterShares(g.peers.Mux(), g.limiter.Server()); err != nil {
+		return errors.Wrap(err, "serve shares")
+	}
+	registry.MustRegister(g.limiter.Collectors()...)
 	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
 	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
 	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
@@ -118,10 +125,9 @@
 
 func (g *Gateway) callerAPI() *callerapi.API {
 	admit := admission.New(g.adoption)
-	limits := limiter.New(g.clock, 1)
-	g.adoption.OnChange(limits.SetCatalog)
+	g.adoption.OnChange(g.limiter.SetCatalog)
 	plain := plainroute.New(plainroute.Parts{
-		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits, Leaving: g.views.Leaving,
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
 		WriteError: callerapi.WriteError,
 	})
@@ -136,7 +142,7 @@
 			EntryTTL:         g.cfg.EntryTTL,
 		},
 		Admission: admit,
-		Limiter:   limits,
+		Limiter:   g.limiter,
 		Dispatch:  dispatch.New(engine.NewClient(), schedule.New(g.views), g.logger),
 		Plain:     plain,
 		Entry:     g.entry,
@@ -187,6 +193,7 @@
 	defer stop()
 	wg.Go(func() { g.follower.Run(background) })
 	wg.Go(func() { g.membership.Run(background) })
+	wg.Go(func() { g.limiter.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
 	wg.Go(func() { g.logError("admin", g.admin.Run()) })
@@ -221,6 +228,7 @@
 	}
 	g.sleep(ctx, leaveNotice+g.cfg.EntryTTL)
 	err := g.callers.Shutdown(ctx)
+	g.limiter.Release(ctx)
 	g.logError("admin", g.admin.Shutdown(ctx))
 	return errors.Wrap(err, "drain gateway")
 }
--- /dev/null
+++ b/internal/gateway/rates.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"fireflypier.example/fireflypier/internal/limiter"
+	"fireflypier.example/fireflypier/internal/member"
+	"fireflypier.example/fireflypier/internal/rendezvous"
+	"fireflypier.example/fireflypier/internal/share"
+)
+
+// newLimiter returns the limiter of this gateway's process.
+func (g *Gateway) newLimiter() *limiter.Limiter {
+	self := g.membership.Self()
+	return limiter.New(limiter.Parts{
+		Clock:    g.clock,
+		Logger:   g.logger.Named("rates"),
+		Table:    g.platform,
+		Peers:    limiter.Dialed(g.dialer),
+		Self:     holderOf(&self),
+		Gateways: g.gatewaysFor,
+		Fresh:    g.adoption.Fresh,
+	})
+}
+
+func holderOf(m *member.Member) share.Holder {
+	return share.Holder{Name: m.Name, Incarnation: m.Incarnation, Address: m.PeerAddress, Region: m.Region}
+}
+
+// gatewaysFor returns the other live gateways, the customer's home gateways
+// first.
+func (g *Gateway) gatewaysFor(customer string) []share.Holder {
+	self := g.membership.Self()
+	byName := map[string]share.Holder{}
+	var names []string
+	for _, m := range g.membership.Live(member.Gateway) {
+		if m.Incarnation != self.Incarnation {
+			byName[m.Name] = holderOf(&m)
+			names = append(names, m.Name)
+		}
+	}
+	holders := make([]share.Holder, 0, len(names))
+	for _, name := range rendezvous.Order(customer, names) {
+		holders = append(holders, byName[name])
+	}
+	return holders
+}
--- a/internal/limiter/pull.go
+++ b/internal/limiter/pull.go
@@ -7,13 +7,14 @@
 	"slices"
 	"time"
 
+	"fireflypier.example/fireflypier/internal/bucket"
 	"fireflypier.example/fireflypier/internal/share"
 	"fireflypier.example/fireflypier/internal/share/sharepb"
 )
 
 const (
 	// pullTimeout bounds one pull.
-	pullTimeout = 200 * time.Millisecond
+	pullTimeout = bucket.LoanLifetime
 	// pullPeers bounds the peers that are asked in one round.
 	pullPeers = 8
 	// dryInterval is the time between two rounds that found too little.
@@ -98,7 +99,7 @@
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
 	now := cu.now()
-	cu.share.Receive(reply.GetTokens(), reply.GetDecay(), asked, now)
+	cu.share.Receive(reply.GetTokens(), asked, now)
 	cu.limiter.counts.pulled.Add(reply.GetTokens())
 	if reply.GetRowVersion() > 0 {
 		cu.observe(reply.GetRow(), reply.GetRowVersion(), time.Time{})
@@ -177,7 +178,7 @@
 		tokens = 0
 	}
 	reply := &sharepb.PullReply{}
-	reply.Tokens, reply.Decay = cu.share.Give(to, tokens, demand, cu.now())
+	reply.Tokens = cu.share.Give(to, tokens, demand, cu.now())
 	cu.limiter.counts.given.Add(reply.GetTokens())
 	row := cu.share.Row()
 	version, _ := cu.share.Version()
--- a/internal/share/schedule_test.go
+++ b/internal/share/schedule_test.go
@@ -207,7 +207,7 @@
 		Entry("the receiver starts before the swap", receiverEarly),
 		Entry("a share is taken back without proof of silence", noProof),
 		Entry("tokens are taken in twice", doubledTokens),
-		Entry("tokens keep their value while they are under way", countedFromArrival),
+		Entry("tokens live longer for the time under way", countedFromArrival),
 		Entry("a swap without an answer counts as not written", restoredUnknown),
 	)
 })
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -129,19 +129,19 @@
 	return true
 }
 
-// Give answers a peer that lacks tokens and tells its demand. The peer must
-// have counted the time from before it asked.
-func (s *Share) Give(to Holder, tokens, demanded float64, now time.Time) (given, decay float64) {
+// Give answers a peer that lacks tokens and tells its demand.
+func (s *Share) Give(to Holder, tokens, demanded float64, now time.Time) (given float64) {
 	s.wants[to.Incarnation] = want{holder: to, demand: demanded, told: now}
 	if !s.Usable(now) {
-		return 0, 0
+		return 0
 	}
 	return s.bucket.Lend(tokens, now)
 }
 
-// Receive adds the tokens of a peer's answer to a question asked at a time.
-func (s *Share) Receive(tokens, decay float64, asked, now time.Time) {
-	s.bucket.Borrow(tokens-decay*now.Sub(asked).Seconds(), decay, now)
+// Receive adds the tokens of a peer's answer to a question. asked is a time
+// before the question was sent; the tokens expire bucket.LoanLifetime later.
+func (s *Share) Receive(tokens float64, asked, now time.Time) {
+	s.bucket.Borrow(tokens, asked.Add(bucket.LoanLifetime), now)
 }
 
 // Observe takes in the row as it was at a version; a row that does not exist
--- a/internal/share/world_test.go
+++ b/internal/share/world_test.go
@@ -305,12 +305,12 @@
 	g.pulls[number] = true
 	asked, demand, me := g.w.now, g.share.Demand(g.w.now), g.holder()
 	g.w.send(from, func() {
-		given, decay := from.share.Give(me, tokens, demand, g.w.now)
-		g.w.send(g, func() { g.received(number, given, decay, asked) })
+		given := from.share.Give(me, tokens, demand, g.w.now)
+		g.w.send(g, func() { g.received(number, given, asked) })
 	})
 }
 
-func (g *gateway) received(number int, tokens, decay float64, asked time.Time) {
+func (g *gateway) received(number int, tokens float64, asked time.Time) {
 	if !g.pulls[number] && g.w.plant != doubledTokens {
 		return
 	}
@@ -318,7 +318,7 @@
 		asked = g.w.now
 	}
 	delete(g.pulls, number)
-	g.share.Receive(tokens, decay, asked, g.w.now)
+	g.share.Receive(tokens, asked, g.w.now)
 }
 
 // contact asks the other voters for an answer.
