--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"fireflypier.example/fireflypier/internal/publication"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/share/sharepb"
 )
 
 // Gateway is one gateway process.
@@ -55,6 +56,7 @@
 	views      *engineview.Views
 	entry      *entryPoint
 	leaving    atomic.Bool
+	limiter    *limiter.Limiter
 	subscriber *feed.Subscriber
 	meter      *demandmeter.Meter
 	peers      *peer.Server
@@ -92,6 +94,7 @@
 	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
 	g.meter = demandmeter.New(cfg.Name, g.dialer, g.controllers, g.clock, g.logger)
+	g.limiter = g.newLimiter()
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -106,6 +109,10 @@
 	if err != nil {
 		return err
 	}
+	if err := sharepb.DRPCRegisterShares(g.peers.Mux(), g.limiter.Server()); err != nil {
+		return errors.Wrap(err, "serve shares")
+	}
+	registry.MustRegister(g.limiter.Collectors()...)
 	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
 	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
 	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
@@ -122,10 +129,9 @@
 
 func (g *Gateway) callerAPI() *callerapi.API {
 	admit := admission.New(g.adoption)
-	limits := limiter.New(g.clock, 1)
-	g.adoption.OnChange(limits.SetCatalog)
+	g.adoption.OnChange(g.limiter.SetCatalog)
 	plain := plainroute.New(plainroute.Parts{
-		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits, Leaving: g.views.Leaving,
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
 		WriteError: callerapi.WriteError,
 	})
@@ -140,7 +146,7 @@
 			EntryTTL:         g.cfg.EntryTTL,
 		},
 		Admission: admit,
-		Limiter:   limits,
+		Limiter:   g.limiter,
 		Dispatch:  dispatch.New(engine.NewClient(), g.schedule(), g.logger),
 		Plain:     plain,
 		Entry:     g.entry,
@@ -208,6 +214,7 @@
 	defer stop()
 	wg.Go(func() { g.follower.Run(background) })
 	wg.Go(func() { g.membership.Run(background) })
+	wg.Go(func() { g.limiter.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
 	wg.Go(func() { g.meter.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
@@ -243,6 +250,7 @@
 	}
 	g.sleep(ctx, leaveNotice+g.cfg.EntryTTL)
 	err := g.callers.Shutdown(ctx)
+	g.limiter.Release(ctx)
 	g.logError("admin", g.admin.Shutdown(ctx))
 	return errors.Wrap(err, "drain gateway")
 }
