--- a/cmd/placement-trial/main.go
+++ b/cmd/placement-trial/main.go
@@ -31,7 +31,7 @@
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	defer func() { _ = w.Flush() }()
-	_, _ = fmt.Fprintln(w, "deployment\tplacement\tattained\tper accelerator and hour\tworst customer\tmoves\twaited\tp99 to first token")
+	_, _ = fmt.Fprintln(w, "deployment\tplacement\tattained\tper accelerator and hour\tworst customer\tmoves\twaited\tp99 to first token\tloads\tledger commits")
 	for _, d := range placementtrial.Deployments(o.Fill) {
 		for _, row := range []struct {
 			name   string
@@ -43,8 +43,8 @@
 			{"greedy", placementtrial.NewGreedy()},
 		} {
 			r := placementtrial.Run(d, row.placer, time.Duration(o.Hours)*time.Hour, o.Seed)
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%.2f %%\t%.0f\t%.2f %%\t%d\t%d\t%s\n", d.Name, row.name,
-				100*float64(r.Attained)/float64(r.Requests), r.PerAccelerator, 100*r.Worst, r.Moves, r.Waited, r.P99.Round(time.Millisecond))
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%.2f %%\t%.0f\t%.2f %%\t%d\t%d\t%s\t%d\t%d\n", d.Name, row.name,
+				100*float64(r.Attained)/float64(r.Requests), r.PerAccelerator, 100*r.Worst, r.Moves, r.Waited, r.P99.Round(time.Millisecond), r.Loads, r.Commits)
 		}
 	}
 }
--- a/internal/placementtrial/placementtrial.go
+++ b/internal/placementtrial/placementtrial.go
@@ -67,6 +67,9 @@
 	Moves int
 	// Waited counts requests that waited because no engine held the model.
 	Waited int
+	// Commits counts the planner's transactions, Loads all loads.
+	Commits int64
+	Loads   int
 	// P99 is the 99th percentile of the time to the first token.
 	P99 time.Duration
 }
@@ -149,6 +152,9 @@
 		w.retry()
 		w.Now = w.Now.Add(tick)
 	}
+	if planned, ok := p.(*Planned); ok {
+		w.result.Commits = planned.Commits()
+	}
 	return w.finish(length)
 }
 
@@ -297,6 +303,7 @@
 // load begins a load.
 func (w *World) load(engine, model int) {
 	ready := w.store.load(w.Now, &w.Deployment)
+	w.result.Loads++
 	w.engines[engine].held[model] = &replica{ready: ready, used: w.Now}
 	if w.Now.Sub(w.start) > settling {
 		w.result.Moves++
--- a/internal/placementtrial/planned.go
+++ b/internal/placementtrial/planned.go
@@ -56,6 +56,9 @@
 	return &Planned{demand: demand.New(), store: tablestore.New(), opts: opts}
 }
 
+// Commits returns the transactions that the planner has written.
+func (p *Planned) Commits() int64 { return p.store.Counts().Commits }
+
 func (p *Planned) begin(w *World) {
 	p.begun = true
 	objects := (&object.Set{Pools: map[string]object.Pool{"engines": {
--- a/tests/engine_fleet_test.go
+++ b/tests/engine_fleet_test.go
@@ -117,10 +117,13 @@
 	})).To(Succeed())
 }
 
+// reports asks engines for their reports.
+var reports = engine.NewClient()
+
 // report returns an engine's report; an engine that does not answer gives
 // nil.
 func report(ctx context.Context, addr netip.AddrPort) *engine.Report {
-	r, err := engine.NewClient().Report(ctx, addr, 0)
+	r, err := reports.Report(ctx, addr, 0)
 	if err != nil {
 		return nil
 	}
