--- a/internal/demandmeter/demandmeter.go
+++ b/internal/demandmeter/demandmeter.go
@@ -42,7 +42,7 @@
 }
 
 // New returns a meter of the gateway called name, which reports to the
-// controllers at the given addresses.
+// controllers at the addresses that controllers returns.
 func New(name string, dialer *peer.Dialer, controllers func() []netip.AddrPort, clock clockwork.Clock, logger hclog.Logger) *Meter {
 	return &Meter{
 		gateway: name, dialer: dialer, controllers: controllers, clock: clock, logger: logger,
@@ -95,7 +95,7 @@
 // Done is closed when Run has returned.
 func (m *Meter) Done() <-chan struct{} { return m.done }
 
-// report tells every controller what has arrived since the last report. A
+// report tells the controllers what has arrived since the last report. A
 // report that is lost is not sent again.
 func (m *Meter) report(ctx context.Context) {
 	r := m.take()
--- a/internal/feed/subscriber.go
+++ b/internal/feed/subscriber.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,6 +17,8 @@
 const (
 	refreshInterval = time.Second
 	retryInterval   = 500 * time.Millisecond
+	// publishingTTL is how long a controller counts as publishing.
+	publishingTTL = 10 * time.Second
 )
 
 // Subscriber keeps one stream to each controller that a gateway knows.
@@ -27,6 +30,9 @@
 	controllers func() []netip.AddrPort
 	deliver     func(*feedpb.Views)
 	done        chan struct{}
+
+	mu    sync.Mutex
+	heard map[netip.AddrPort]time.Time
 }
 
 // NewSubscriber returns a subscriber of the gateway called name. It asks
@@ -36,6 +42,7 @@
 	return &Subscriber{
 		name: name, dialer: dialer, clock: clock, logger: logger,
 		controllers: controllers, deliver: deliver, done: make(chan struct{}),
+		heard: map[netip.AddrPort]time.Time{},
 	}
 }
 
@@ -61,6 +68,28 @@
 // Done is closed when Run has returned.
 func (s *Subscriber) Done() <-chan struct{} { return s.done }
 
+// Publishing returns the controllers that have sent views of late: those that
+// plan a shard.
+func (s *Subscriber) Publishing() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var publishing []netip.AddrPort
+	for addr, at := range s.heard {
+		if s.clock.Since(at) > publishingTTL {
+			delete(s.heard, addr)
+			continue
+		}
+		publishing = append(publishing, addr)
+	}
+	return publishing
+}
+
+func (s *Subscriber) note(addr netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[addr] = s.clock.Now()
+}
+
 func stopAll(streams map[netip.AddrPort]context.CancelFunc) {
 	for _, stop := range streams {
 		stop()
@@ -112,6 +141,7 @@
 		if err != nil {
 			return err
 		}
+		s.note(addr)
 		s.deliver(batch)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,7 @@
 	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
 	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
-	g.meter = demandmeter.New(cfg.Name, g.dialer, g.controllers, g.clock, g.logger)
+	g.meter = demandmeter.New(cfg.Name, g.dialer, g.planners, g.clock, g.logger)
 	g.limiter = g.newLimiter()
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -191,6 +191,9 @@
 	return addresses
 }
 
+// planners returns the controllers that plan engines.
+func (g *Gateway) planners() []netip.AddrPort { return g.subscriber.Publishing() }
+
 func (g *Gateway) deliver(batch *feedpb.Views) {
 	g.views.Update(g.adoption.Current(), batch)
 }
