Keep a lease with its new holder; plan only what the objects hold

Cause 1: a thawed holder whose renewal had no answer read the row back, took its version over but kept its old time of change, and so took the lease again at once. Cause 2: a shard divided by an older revision named a model that the newer one no longer holds, and it was loaded with no version and no bytes.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -84,7 +84,7 @@
 		return l.held, err
 	}
 	if !held && failure.Is(err, failure.OutcomeUnknown) {
-		return l.held, l.reread(ctx)
+		err = l.reread(ctx)
 	}
 	return l.held, err
 }
@@ -124,6 +124,7 @@
 	}
 	l.held = r.Holder == l.holder
 	l.version = current.Version
+	l.changed = time.Time{}
 	return nil
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/standin/tablestore"
+	"fireflypier.example/fireflypier/internal/table"
 )
 
 func TestLease(t *testing.T) {
@@ -16,6 +18,14 @@
 	RunSpecs(t, "lease")
 }
 
+// lostCommits answers no commit.
+type lostCommits struct{ table.Table }
+
+// Commit implements table.Table.
+func (lostCommits) Commit(context.Context, table.Tx) (int64, error) {
+	return 0, failure.New(failure.OutcomeUnknown, "lost")
+}
+
 var _ = Describe("a lease", func() {
 	ctx := context.Background()
 	start := time.Unix(1_000_000, 0)
@@ -45,6 +55,16 @@
 		Expect(step(second, 3*time.Second, 1)).To(BeFalse())
 		Expect(step(second, 5*time.Second, 1)).To(BeTrue())
 		Expect(step(first, 6*time.Second, 0)).To(BeFalse())
+		Expect(step(first, 6*time.Second, 0)).To(BeFalse())
+		Expect(step(second, 6*time.Second, 1)).To(BeTrue())
+	})
+
+	It("stays with the successor of a holder whose renewal was lost", func() {
+		Expect(step(second, time.Second, 1)).To(BeFalse())
+		Expect(step(second, 5*time.Second, 1)).To(BeTrue())
+		first.table = lostCommits{store}
+		Expect(step(first, 6*time.Second, 0)).To(BeFalse())
+		Expect(step(first, 6*time.Second, 0)).To(BeFalse())
 		Expect(step(second, 6*time.Second, 1)).To(BeTrue())
 	})
 
--- a/internal/shardplan/shardplan.go
+++ b/internal/shardplan/shardplan.go
@@ -121,8 +121,11 @@
 }
 
 // Configure replaces the work. Engines that are no longer named are
-// forgotten; their rows stay.
+// forgotten; their rows stay. Targets and models that the objects do not hold
+// are left out.
 func (p *Plan) Configure(w Work, now time.Time) {
+	w.Targets = existing(w.Targets, w.Objects.Targets)
+	w.Models = existing(w.Models, w.Objects.Models)
 	p.work = w
 	pool := w.Objects.Pools[w.Pool]
 	p.loads.SetLimits(pool.LoadsPerSecond, pool.LoadsAtOnce, w.Shards)
@@ -140,6 +143,14 @@
 	maps.DeleteFunc(p.engines, func(a netip.AddrPort, _ *engineState) bool { return !wanted[a] })
 }
 
+// existing returns the names that objects hold.
+func existing[V any](names []string, objects map[string]V) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		_, ok := objects[name]
+		return !ok
+	})
+}
+
 // Unread returns the engines whose ledger rows must be read.
 func (p *Plan) Unread() []netip.AddrPort {
 	var unread []netip.AddrPort
--- a/internal/shardplan/shardplan_test.go
+++ b/internal/shardplan/shardplan_test.go
@@ -106,6 +106,14 @@
 		Expect(p.commit(ordersOnly(second[0]))).To(Succeed())
 	})
 
+	It("leaves out models and targets that the objects no longer hold", func() {
+		p := newPair()
+		plan := New(func() string { return "o" })
+		plan.Configure(Work{Pool: "p", Objects: p.objects, Targets: []string{"a", "gone"}, Models: []string{"gone", "x"}, Shards: 1}, p.now)
+		Expect(plan.Unread()).To(HaveLen(1))
+		Expect(plan.Status(demand.New(), p.now).Models).To(HaveLen(1))
+	})
+
 	It("shows operators what is where, what is moving and why, and what is at risk", func() {
 		p := newPair()
 		p.objects.Models["y"] = object.Model{Pool: "p", Version: "1", MemoryBytes: 3}
