--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -111,7 +111,7 @@
 		if len(lacking) == 0 && a.complete() {
 			return
 		}
-		a.take(a.parts.Gossip.OfferTo(ctx, lacking))
+		a.parts.Gossip.OfferTo(ctx, lacking, a.take)
 		timer := a.parts.Clock.NewTimer(pause)
 		select {
 		case <-timer.Chan():
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -86,7 +86,7 @@
 		clock:     clockwork.NewRealClock(),
 		logger:    hclog.NewNullLogger(),
 		publisher: feed.NewPublisher(),
-		dialer:    peer.NewDialer(),
+		dialer:    peer.NewDialer(peer.WithSource(cfg.PeerListen.Addr())),
 		done:      make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 type Fault struct {
 	// Refuse closes every new connection at once.
 	Refuse bool
+	// RefuseFrom closes every new connection from these addresses at once.
+	RefuseFrom []netip.Addr
 	// Freeze holds every byte back, both ways, until the fault is lifted.
 	Freeze bool
 	// Delay holds each piece of data back.
@@ -111,7 +114,7 @@
 
 func (p *Proxy) carry(client net.Conn) {
 	defer func() { _ = client.Close() }()
-	if fault, _ := p.current(); fault.Refuse {
+	if p.refuses(client) {
 		return
 	}
 	server, err := net.Dial("tcp", p.server.String())
@@ -134,6 +137,12 @@
 	<-ended
 }
 
+func (p *Proxy) refuses(client net.Conn) bool {
+	fault, _ := p.current()
+	addr, ok := client.RemoteAddr().(*net.TCPAddr)
+	return fault.Refuse || ok && slices.Contains(fault.RefuseFrom, addr.AddrPort().Addr().Unmap())
+}
+
 func (p *Proxy) remember(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/freshness/model_test.go
@@ -0,0 +1,401 @@
+package freshness_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"fireflypier.example/fireflypier/internal/adoption"
+	"fireflypier.example/fireflypier/internal/freshness"
+	"fireflypier.example/fireflypier/internal/member"
+	"fireflypier.example/fireflypier/internal/memberlist"
+	"fireflypier.example/fireflypier/internal/revision"
+)
+
+const modelBound = 4 * time.Second
+
+// rules are the decisions of the model; a variant leaves one of them out.
+type rules struct {
+	list     func(*memberlist.List) *memberlist.List
+	confirms func(w *world, list *memberlist.List, n *node, own freshness.State, answers map[string]freshness.State) bool
+	accepted func(list *memberlist.List, need freshness.State, acks map[string]freshness.State) bool
+	vouchAge func(time.Duration) time.Duration
+}
+
+func standardRules() rules {
+	return rules{
+		list: func(l *memberlist.List) *memberlist.List { return l },
+		confirms: func(_ *world, list *memberlist.List, n *node, own freshness.State, answers map[string]freshness.State) bool {
+			return freshness.New(list).Confirms(n.self.Region, own, answers)
+		},
+		accepted: func(list *memberlist.List, need freshness.State, acks map[string]freshness.State) bool {
+			ok, _ := freshness.New(list).Accepted(need, acks)
+			return ok
+		},
+		vouchAge: func(d time.Duration) time.Duration { return d },
+	}
+}
+
+// node is one incarnation of a gateway.
+type node struct {
+	self                         member.Member
+	adoption                     *adoption.Adoption
+	dead, frozen, noStore, noNet bool
+}
+
+func (n *node) runs() bool { return !n.dead && !n.frozen }
+
+// edit is a committed edit on its way to acceptance.
+type edit struct {
+	need     freshness.State
+	acks     map[string]freshness.State
+	accepted time.Time
+}
+
+// call is an operation under way; step advances it and reports the end.
+type call struct {
+	owner *node
+	step  func() bool
+}
+
+// world is a fleet under a random schedule.
+type world struct {
+	rng      *rand.Rand
+	rules    rules
+	clock    *clockwork.FakeClock
+	outage   bool
+	rev      int64
+	lists    []*memberlist.List
+	nodes    []*node
+	edits    []*edit
+	calls    []*call
+	nextName int
+	settling map[string]freshness.State
+	regions  int
+	actions  []func()
+}
+
+func newWorld(seed uint64, r rules) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), rules: r, clock: clockwork.NewFakeClock(),
+		lists: []*memberlist.List{memberlist.Empty()}, settling: map[string]freshness.State{},
+	}
+	w.regions = 1 + w.rng.IntN(4)/3
+	for range w.regions * (1 + w.rng.IntN(4)) {
+		w.join(w.start(w.newMember()))
+	}
+	for _, n := range w.nodes {
+		w.fetch(n, w.headState())
+	}
+	w.change(&memberlist.Change{Settled: w.list().Version})
+	w.weigh()
+	return w
+}
+
+// weigh gives each action a random weight for this schedule, so that
+// schedules differ in kind: many leave some of the faults out.
+func (w *world) weigh() {
+	add := func(least int, action func()) {
+		weight := max(least, []int{0, 0, 0, 1, 2, 4}[w.rng.IntN(6)])
+		for range weight {
+			w.actions = append(w.actions, action)
+		}
+	}
+	add(12, w.advanceCall)
+	add(1, func() { w.whenRunning(w.read) })
+	add(1, func() { w.whenRunning(func(n *node) { w.exchange(n, w.pick()) }) })
+	add(1, func() { w.whenRunning(w.confirm) })
+	add(1, w.commit)
+	add(4, w.offer)
+	add(4, w.evaluate)
+	add(0, w.settle)
+	add(0, func() { w.toggle(&w.pick().frozen) })
+	add(0, func() { w.toggle(&w.pick().noStore) })
+	add(0, func() { w.toggle(&w.pick().noNet) })
+	add(0, func() { w.toggle(&w.outage) })
+	add(0, w.restart)
+	add(0, w.register)
+	add(0, w.arrive)
+	add(0, w.readList)
+	add(2, func() { w.clock.Advance(time.Duration(w.rng.IntN(1000)) * time.Millisecond) })
+}
+
+// toggle brings a fault about, or more often lifts it.
+func (w *world) toggle(fault *bool) { *fault = !*fault && w.rng.IntN(3) == 0 }
+
+func (w *world) whenRunning(f func(*node)) {
+	if n := w.pick(); n.runs() {
+		f(n)
+	}
+}
+
+func (w *world) newMember() member.Member {
+	w.nextName++
+	region := fmt.Sprintf("region-%d", w.nextName%w.regions)
+	return member.Member{Name: fmt.Sprintf("g%d", w.nextName), Role: member.Gateway, Region: region, State: member.Live}
+}
+
+func (w *world) start(m member.Member) *node {
+	m.Incarnation = fmt.Sprintf("%s#%d", m.Name, len(w.nodes))
+	n := &node{self: m, adoption: adoption.New(w.clock, modelBound)}
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func (w *world) list() *memberlist.List { return w.lists[len(w.lists)-1] }
+
+func (w *world) headState() freshness.State {
+	return freshness.State{Revision: w.rev, Members: w.list().Version}
+}
+
+func (w *world) change(c *memberlist.Change) {
+	now := w.list()
+	c.Version, c.Floor = now.Version+1, w.rev
+	c.Settled = max(c.Settled, now.Settled)
+	w.lists = append(w.lists, now.Apply(c))
+}
+
+// join enters a node in the list and takes its predecessors out.
+func (w *world) join(n *node) {
+	if _, ok := w.list().Find(n.self.Incarnation); ok {
+		return
+	}
+	c := &memberlist.Change{Put: []member.Member{n.self}}
+	for _, m := range w.list().Members {
+		if m.Name == n.self.Name {
+			c.Drop = append(c.Drop, m.Incarnation)
+		}
+	}
+	w.change(c)
+}
+
+// fetch lets n adopt a state.
+func (w *world) fetch(n *node, s freshness.State) {
+	n.adoption.Adopt(&revision.Snapshot{Revision: s.Revision})
+	n.adoption.AdoptMembers(w.lists[s.Members])
+}
+
+func (w *world) reaches(a, b *node) bool {
+	return a.runs() && b.runs() && !a.noNet && !b.noNet
+}
+
+// pick returns a node that has not ended.
+func (w *world) pick() *node {
+	for {
+		if n := w.nodes[w.rng.IntN(len(w.nodes))]; !n.dead {
+			return n
+		}
+	}
+}
+
+// read is a read of the head: asked, sampled and delivered at three moments.
+func (w *world) read(n *node) {
+	asked := w.clock.Now()
+	var sampled *freshness.State
+	w.begin(n, func() bool {
+		if sampled == nil {
+			if w.outage || n.noStore {
+				return true
+			}
+			s := w.headState()
+			sampled = &s
+			return false
+		}
+		w.fetch(n, *sampled)
+		n.adoption.Vouch(*sampled, asked)
+		return true
+	})
+}
+
+func (w *world) begin(owner *node, step func() bool) {
+	w.calls = append(w.calls, &call{owner: owner, step: step})
+}
+
+// exchange is a digest asked for, answered and delivered.
+func (w *world) exchange(a, b *node) {
+	asked := w.clock.Now()
+	var answer *freshness.State
+	var age time.Duration
+	var vouched bool
+	w.begin(a, func() bool {
+		if answer == nil {
+			if !w.reaches(a, b) {
+				return true
+			}
+			s := b.adoption.State()
+			age, vouched = b.adoption.Age()
+			answer = &s
+			return false
+		}
+		w.fetch(a, *answer)
+		if vouched {
+			a.adoption.Vouch(*answer, asked.Add(-w.rules.vouchAge(age)))
+		}
+		return true
+	})
+}
+
+// confirm asks the witnesses one after another, at different moments.
+func (w *world) confirm(n *node) {
+	asked := w.clock.Now()
+	own := n.adoption.State()
+	list := n.adoption.Members()
+	answers := map[string]freshness.State{n.self.Incarnation: own}
+	left := w.rng.Perm(len(w.nodes))
+	w.begin(n, func() bool {
+		if w.rules.confirms(w, w.rules.list(list), n, own, answers) {
+			n.adoption.Vouch(own, asked)
+			return true
+		}
+		for len(left) > 0 {
+			other := w.nodes[left[0]]
+			left = left[1:]
+			if other != n && other.self.Region == n.self.Region && w.reaches(n, other) {
+				answers[other.self.Incarnation] = other.adoption.State()
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// commit is an edit; its offers and the evaluation follow at other moments.
+func (w *world) commit() {
+	last := len(w.edits) - 1
+	if w.outage || last >= 0 && w.edits[last].accepted.IsZero() && w.rng.IntN(4) > 0 {
+		return
+	}
+	w.rev++
+	w.edits = append(w.edits, &edit{need: w.headState(), acks: map[string]freshness.State{}})
+}
+
+func (w *world) offer() {
+	if len(w.edits) == 0 {
+		return
+	}
+	e := w.edits[len(w.edits)-1-w.rng.IntN(min(2, len(w.edits)))]
+	n := w.pick()
+	if !n.runs() || n.noNet {
+		return
+	}
+	n.adoption.Adopt(&revision.Snapshot{Revision: e.need.Revision})
+	if w.rng.IntN(5) > 0 {
+		e.acks[n.self.Incarnation] = n.adoption.State()
+	}
+}
+
+// evaluate judges an edit by a list that some controller may hold.
+func (w *world) evaluate() {
+	if len(w.edits) == 0 {
+		return
+	}
+	e := w.edits[len(w.edits)-1-w.rng.IntN(min(2, len(w.edits)))]
+	list := w.lists[len(w.lists)-1-w.rng.IntN(min(4, len(w.lists)))]
+	if e.accepted.IsZero() && w.rules.accepted(w.rules.list(list), e.need, e.acks) {
+		e.accepted = w.clock.Now()
+	}
+}
+
+// settle gathers one more answer, and settles what may be settled.
+func (w *world) settle() {
+	n := w.pick()
+	if n.runs() && !n.noNet {
+		w.settling[n.self.Incarnation] = n.adoption.State()
+	}
+	list := w.lists[max(0, len(w.lists)-1-w.rng.IntN(2))]
+	if settled := freshness.New(list).Settles(w.settling); !w.outage && settled > w.list().Settled {
+		w.change(&memberlist.Change{Settled: settled})
+	}
+}
+
+// restart ends a node; its successor remembers nothing.
+func (w *world) restart() {
+	n := w.pick()
+	n.dead = true
+	w.start(n.self)
+}
+
+func (w *world) register() {
+	if n := w.pick(); !w.outage && n.runs() && !n.noStore {
+		w.join(n)
+	}
+}
+
+func (w *world) arrive() {
+	if w.nextName >= 8 {
+		return
+	}
+	n := w.start(w.newMember())
+	if !w.outage && w.rng.IntN(2) == 0 {
+		w.join(n)
+	}
+}
+
+// readList lets a node adopt the list without the configuration, as happens
+// when the list moves on between two reads.
+func (w *world) readList() {
+	if n := w.pick(); !w.outage && n.runs() && !n.noStore {
+		n.adoption.AdoptMembers(w.list())
+	}
+}
+
+func (w *world) advanceCall() {
+	if len(w.calls) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.calls))
+	c := w.calls[i]
+	if c.owner.frozen && !c.owner.dead {
+		return
+	}
+	if c.owner.dead || c.step() {
+		w.calls = append(w.calls[:i], w.calls[i+1:]...)
+	}
+}
+
+func (w *world) act() { w.actions[w.rng.IntN(len(w.actions))]() }
+
+// violation describes a node that still admits what an accepted edit has
+// withdrawn longer ago than the bound, or is empty.
+func (w *world) violation() string {
+	for _, n := range w.nodes {
+		if !n.runs() || n.adoption.Fresh() != nil {
+			continue
+		}
+		have := n.adoption.State().Revision
+		for _, e := range w.edits {
+			late := !e.accepted.IsZero() && w.clock.Since(e.accepted) > modelBound
+			if late && have < e.need.Revision {
+				return fmt.Sprintf("%s serves revision %d, though %d was accepted %s ago",
+					n.self.Incarnation, have, e.need.Revision, w.clock.Since(e.accepted))
+			}
+		}
+	}
+	return ""
+}
+
+// run runs one schedule and returns the first violation and the number of
+// accepted edits and of looks at a fresh node during an outage.
+func (w *world) run(steps int) (violation string, accepted, freshInOutage int) {
+	for range steps {
+		w.act()
+		if v := w.violation(); v != "" {
+			return v, 0, 0
+		}
+		if w.outage {
+			for _, n := range w.nodes {
+				if n.runs() && n.adoption.Fresh() == nil {
+					freshInOutage++
+				}
+			}
+		}
+	}
+	for _, e := range w.edits {
+		if !e.accepted.IsZero() {
+			accepted++
+		}
+	}
+	return "", accepted, freshInOutage
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 		clock:  clockwork.NewRealClock(),
 		logger: hclog.NewNullLogger(),
 		views:  engineview.New(),
-		dialer: peer.NewDialer(),
+		dialer: peer.NewDialer(peer.WithSource(cfg.PeerListen.Addr())),
 		done:   make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/internal/gossip/round.go
+++ b/internal/gossip/round.go
@@ -14,11 +14,13 @@
 	"fireflypier.example/fireflypier/internal/revision"
 )
 
-// fetchTimeout bounds the transfer of a state; offerTimeout that of an offer
-// with its relays.
 const (
+	// fetchTimeout bounds the transfer of a state.
 	fetchTimeout = 5 * time.Second
-	offerTimeout = 3 * time.Second
+	// relayTimeout bounds the wait of a relay for its members; the offer to
+	// the relay may take longer by a call.
+	relayTimeout = 500 * time.Millisecond
+	offerTimeout = callTimeout + relayTimeout
 )
 
 // Confirm asks the witnesses of this process's region whether its state is
@@ -91,40 +93,34 @@
 }
 
 // OfferTo offers the revision in force to members, each of which passes it to
-// a part of the others, and returns the states that the members have adopted
-// by incarnation. Members that were not reached are left out.
-func (g *Gossip) OfferTo(ctx context.Context, members []member.Member) map[string]freshness.State {
-	var mu sync.Mutex
-	states := map[string]freshness.State{g.parts.Self.Incarnation: g.parts.Adoption.State()}
+// a part of the others, and calls take with the states that members have
+// adopted, by incarnation, as they arrive. take may be called from several
+// goroutines.
+func (g *Gossip) OfferTo(ctx context.Context, members []member.Member, take func(map[string]freshness.State)) {
 	parts := split(members)
-	relays := make([]member.Member, 0, len(parts))
+	calls := pool.New().WithMaxGoroutines(callsAtOnce)
+	defer calls.Wait()
 	for _, part := range parts {
-		relays = append(relays, part[0])
-	}
-	g.each(ctx, relays, func(relay *member.Member) {
-		for _, part := range parts {
-			if part[0].Incarnation != relay.Incarnation {
-				continue
-			}
-			reply, err := g.offer(ctx, relay, part[1:])
+		calls.Go(func() {
+			reply, err := g.offer(ctx, &part[0], part[1:])
 			if err != nil {
-				g.parts.Logger.Debug("offer not taken", "member", relay.Name, "error", err)
-				continue
+				g.parts.Logger.Debug("offer not taken", "member", part[0].Name, "error", err)
+				return
 			}
-			mu.Lock()
+			states := map[string]freshness.State{}
 			for _, a := range reply.GetAcknowledgements() {
 				states[a.GetIncarnation()] = freshness.State{Revision: a.GetRevision(), Members: a.GetMemberVersion()}
 			}
-			mu.Unlock()
-		}
-	})
-	return states
+			take(states)
+		})
+	}
 }
 
-// split shuffles members into about as many parts as each part has members.
+// split shuffles members into parts: of one member where the calls can be made
+// at once, else about as many parts as each part has members.
 func split(members []member.Member) [][]member.Member {
 	size := 1
-	for size*size < len(members) {
+	for len(members) > callsAtOnce && size*size < len(members) {
 		size++
 	}
 	var parts [][]member.Member
@@ -201,11 +197,11 @@
 			members = append(members, m)
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
 	g.each(ctx, members, func(m *member.Member) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
 		passed := &gossippb.OfferRequest{Revision: req.GetRevision(), Edits: req.GetEdits(), Sender: req.GetSender()}
-		reply, err := g.client(callCtx, m.PeerAddress).Offer(callCtx, passed)
+		reply, err := g.client(ctx, m.PeerAddress).Offer(ctx, passed)
 		if err != nil {
 			return
 		}
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -26,9 +26,22 @@
 	dialer net.Dialer
 }
 
+// Option changes a Dialer under construction.
+type Option func(*Dialer)
+
+// WithSource makes the dialer connect from an address of this VM, the one
+// that others know it by. An unspecified address changes nothing.
+func WithSource(addr netip.Addr) Option {
+	return func(d *Dialer) {
+		if addr.IsValid() && !addr.IsUnspecified() {
+			d.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(addr, 0))
+		}
+	}
+}
+
 // NewDialer returns a dialer without connections.
-func NewDialer() *Dialer {
-	return &Dialer{
+func NewDialer(opts ...Option) *Dialer {
+	d := &Dialer{
 		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			Capacity:    connectionsInAll,
@@ -36,6 +49,10 @@
 		}),
 		dialer: net.Dialer{Timeout: dialTimeout},
 	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // Conn returns a connection to addr. It connects at the first call and gives
--- /dev/null
+++ b/tests/config_test.go
@@ -0,0 +1,448 @@
+package tests
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/acceptance"
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/operatorclient"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/settings"
+)
+
+// stateFleet is a platform, gateways and controllers, each behind a fault
+// proxy towards the platform and one towards its peers.
+type stateFleet struct {
+	*fleet.Fleet
+	platform    *fleet.Standin
+	desk        *fleet.Standin
+	gateways    []*guardedNode
+	controllers []*guardedNode
+	operator    *operatorclient.Client
+	seeds       []netip.AddrPort
+}
+
+// guardedNode is a process and the proxies round it.
+type guardedNode struct {
+	*fleet.Node
+	store, peers *faultproxy.Proxy
+	seed         netip.AddrPort
+	// source is the address from which the process calls its peers.
+	source netip.Addr
+}
+
+// startStateFleet starts a fleet with a plain service behind it, whose
+// gateways lie in the given regions, and applies a set with two customers.
+func startStateFleet(ctx context.Context, controllers int, regions ...string) *stateFleet {
+	f := &stateFleet{Fleet: newFleet()}
+	var err error
+	f.platform, err = f.StartPlatform(ctx, struct{}{})
+	Expect(err).NotTo(HaveOccurred())
+	f.desk, err = f.StartService(ctx, "desk-0")
+	Expect(err).NotTo(HaveOccurred())
+	for i := range controllers {
+		f.controllers = append(f.controllers, f.startController(ctx, fmt.Sprintf("controller-%d", i)))
+	}
+	for i, region := range regions {
+		f.gateways = append(f.gateways, f.startGateway(ctx, fmt.Sprintf("gateway-%d", i), region))
+	}
+	nodes := make([]*fleet.Node, 0, controllers)
+	for _, c := range f.controllers {
+		nodes = append(nodes, c.Node)
+	}
+	f.operator = f.Operator(nodes...)
+	f.waitForMembers(ctx, len(regions))
+	applied, err := f.operator.Apply(ctx, &revision.Edit{ID: uuid.NewString(), Put: f.objects()})
+	Expect(err).NotTo(HaveOccurred())
+	f.accepted(ctx, applied.Revision)
+	for _, g := range f.gateways {
+		Expect(g.Ready(ctx)).To(Succeed())
+	}
+	return f
+}
+
+// guard puts the proxies round a process whose settings are given.
+func (f *stateFleet) guard(cfg *settings.Process) *guardedNode {
+	source := netip.AddrFrom4([4]byte{127, 0, 1, byte(len(f.seeds) + 1)})
+	cfg.PeerListen = netip.AddrPortFrom(source, cfg.PeerListen.Port())
+	store, err := faultproxy.Start(f.platform.Addr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(store.Close)
+	peers, err := faultproxy.Start(cfg.PeerListen)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(peers.Close)
+	cfg.Platform = store.Addr()
+	cfg.PeerAddress = peers.Addr()
+	cfg.SeedPeers = f.seeds
+	f.seeds = append(f.seeds, peers.Addr())
+	return &guardedNode{store: store, peers: peers, seed: peers.Addr(), source: source}
+}
+
+func (f *stateFleet) startController(ctx context.Context, name string) *guardedNode {
+	var n *guardedNode
+	node, err := f.StartController(ctx, name, func(cfg *settings.Controller) { n = f.guard(&cfg.Process) })
+	Expect(err).NotTo(HaveOccurred())
+	n.Node = node
+	return n
+}
+
+func (f *stateFleet) startGateway(ctx context.Context, name, region string, changes ...func(*settings.Gateway)) *guardedNode {
+	var n *guardedNode
+	node, err := f.StartGateway(ctx, name, func(cfg *settings.Gateway) {
+		n = f.guard(&cfg.Process)
+		cfg.Region = region
+		cfg.EntryTTL = 100 * time.Millisecond
+		for _, change := range changes {
+			change(cfg)
+		}
+	})
+	Expect(err).NotTo(HaveOccurred())
+	n.Node = node
+	return n
+}
+
+func (f *stateFleet) objects() object.Set {
+	return object.Set{
+		Customers: map[string]object.Customer{"circle": {Rate: "small"}, "dealer": {Rate: "small"}},
+		Keys: map[string]object.Key{
+			"circle-1": keyObject("circle", circleKey),
+			"dealer-1": keyObject("dealer", dealerKey),
+		},
+		Rates:  map[string]object.Rate{"small": {TokensPerSecond: 1e6, BurstTokens: 1e6}},
+		Routes: map[string]object.Route{"print": {PathPrefix: "/print", Pool: "desk", Repeatable: true}},
+		Pools:  map[string]object.Pool{"desk": {Kind: object.PoolService}},
+		Targets: map[string]object.Target{
+			"desk-0": {Pool: "desk", Address: f.desk.Addr, DataCentre: "dc-1", VM: "vm-desk-0"},
+		},
+	}
+}
+
+// stateDump is the part of a process's dump that these tests read.
+type stateDump struct {
+	Revision      int64  `json:"revision"`
+	MemberVersion int64  `json:"member_version"`
+	Digest        string `json:"digest"`
+	Members       []struct {
+		Name        string `json:"name"`
+		Incarnation string `json:"incarnation"`
+		Role        string `json:"role"`
+	} `json:"members"`
+}
+
+func dumpOf(ctx context.Context, n *fleet.Node) (stateDump, error) {
+	var d stateDump
+	a := send(ctx, http.MethodGet, n.Admin, "/dump", "", "", nil)
+	return d, json.Unmarshal([]byte(a.body), &d)
+}
+
+// waitForMembers waits until every process lists the given number of
+// gateways.
+func (f *stateFleet) waitForMembers(ctx context.Context, gateways int) {
+	for _, n := range append(append([]*guardedNode{}, f.gateways...), f.controllers...) {
+		Expect(fleet.Eventually(ctx, func() error {
+			d, err := dumpOf(ctx, n.Node)
+			if err != nil {
+				return err
+			}
+			count := 0
+			for _, m := range d.Members {
+				if m.Role == "gateway" {
+					count++
+				}
+			}
+			if count != gateways {
+				return fmt.Errorf("%s lists %d gateways", n.Name, count)
+			}
+			return nil
+		})).To(Succeed())
+	}
+}
+
+// accepted waits until a revision is accepted.
+func (f *stateFleet) accepted(ctx context.Context, rev int64) {
+	Expect(fleet.Eventually(ctx, func() error {
+		status, err := f.operator.Acceptance(ctx, rev, 5*time.Second)
+		if err == nil && !status.Accepted {
+			err = fmt.Errorf("revision %d is not accepted: %v", rev, status.Missing)
+		}
+		return err
+	})).To(Succeed())
+}
+
+func (f *stateFleet) edit(e *revision.Edit) *revision.Edit {
+	if e.ID == "" {
+		e.ID = uuid.NewString()
+	}
+	return e
+}
+
+// apply publishes an edit based on any revision.
+func (f *stateFleet) apply(ctx context.Context, e *revision.Edit) *operatorclient.Applied {
+	e.BasedOn = 1 << 40
+	applied, err := f.operator.Apply(ctx, f.edit(e))
+	Expect(err).NotTo(HaveOccurred())
+	return applied
+}
+
+func (f *stateFleet) fault(ctx context.Context, body string) {
+	a := send(ctx, http.MethodPost, f.platform.Addr, "/standin/fault", "", body, nil)
+	Expect(a.status).To(Equal(http.StatusOK), a.body)
+}
+
+// order sends one keyed request.
+func order(ctx context.Context, n *guardedNode, key string) answer {
+	return send(ctx, http.MethodPost, n.Addr, "/print/order", key, "bands", nil)
+}
+
+// atRevision waits until a gateway serves at least a revision.
+func atRevision(ctx context.Context, n *guardedNode, rev int64) {
+	Expect(fleet.Eventually(ctx, func() error {
+		d, err := dumpOf(ctx, n.Node)
+		if err == nil && d.Revision < rev {
+			err = fmt.Errorf("%s is at revision %d", n.Name, d.Revision)
+		}
+		return err
+	})).To(Succeed())
+	Expect(n.Ready(ctx)).To(Succeed())
+}
+
+func customerEdit(name string) *revision.Edit {
+	return &revision.Edit{Put: object.Set{Customers: map[string]object.Customer{name: {Rate: "small"}}}}
+}
+
+var _ = Describe("an accepted configuration", func() {
+	It("survives racing operators, and names the objects of a conflict", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 2, "region-1", "region-1", "region-1")
+		base, err := f.operator.Snapshot(ctx)
+		Expect(err).NotTo(HaveOccurred())
+
+		By("merging edits that do not overlap, from two controllers at once")
+		const writers = 8
+		revisions := make([]int64, writers)
+		var wg sync.WaitGroup
+		for i := range writers {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				e := customerEdit(fmt.Sprintf("guest-%d", i))
+				e.ID, e.BasedOn = uuid.NewString(), base.Revision
+				applied, err := f.Operator(f.controllers[i%2].Node).Apply(ctx, e)
+				Expect(err).NotTo(HaveOccurred())
+				revisions[i] = applied.Revision
+			})
+		}
+		wg.Wait()
+		s, err := f.operator.Snapshot(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Revision).To(Equal(base.Revision + writers))
+		for i := range writers {
+			Expect(s.Objects.Customers).To(HaveKey(fmt.Sprintf("guest-%d", i)))
+		}
+		Expect(revisions).To(ConsistOf([]int64{2, 3, 4, 5, 6, 7, 8, 9}))
+
+		By("refusing the second of two edits of one object")
+		e := f.edit(customerEdit("guest-3"))
+		e.BasedOn = base.Revision
+		_, err = f.operator.Apply(ctx, e)
+		Expect(failure.Is(err, failure.Conflict)).To(BeTrue(), "%v", err)
+		Expect(err).To(MatchError(ContainSubstring("customer/guest-3")))
+
+		By("reaching every gateway, and applying an earlier set as a new revision")
+		f.accepted(ctx, s.Revision)
+		restored := f.apply(ctx, &revision.Edit{Restore: base.Revision})
+		f.accepted(ctx, restored.Revision)
+		for _, g := range f.gateways {
+			atRevision(ctx, g, restored.Revision)
+		}
+		s, err = f.operator.Snapshot(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Objects).To(Equal(base.Objects))
+		entries, err := f.operator.History(ctx, 3)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).To(HaveLen(3))
+		Expect(entries[0].Revision).To(Equal(restored.Revision))
+	})
+
+	It("reports the first outcome of an edit whose answers were lost", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 1, "region-1")
+		e := f.edit(customerEdit("guest"))
+		e.BasedOn = 1
+		f.fault(ctx, `{"lose_answers":1}`)
+		first, err := f.operator.Apply(ctx, e)
+		Expect(err).NotTo(HaveOccurred())
+
+		By("repeating it after later edits, one of which changed the same object")
+		f.apply(ctx, customerEdit("other"))
+		f.apply(ctx, &revision.Edit{Delete: []string{"customer/guest"}})
+		again, err := f.operator.Apply(ctx, e)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again).To(Equal(first))
+		s, err := f.operator.Snapshot(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Revision).To(Equal(int64(4)))
+		Expect(s.Objects.Customers).NotTo(HaveKey("guest"))
+	})
+
+	It("is served on through an outage, and by a process that starts in it", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 1, "region-1", "region-1", "region-1")
+		f.fault(ctx, `{"outage":true}`)
+
+		By("serving for several times the bound, and refusing edits clearly")
+		_, err := f.operator.Apply(ctx, f.edit(customerEdit("guest")))
+		Expect(failure.Is(err, failure.StoreUnavailable)).To(BeTrue(), "%v", err)
+		f.serveFor(ctx, 10*time.Second, f.gateways...)
+
+		By("starting a gateway that knows only peers")
+		late := f.startGateway(ctx, "gateway-late", "region-1")
+		Expect(late.Ready(ctx)).To(Succeed())
+		Expect(order(ctx, late, circleKey).status).To(Equal(http.StatusOK))
+
+		By("taking edits again afterwards")
+		f.fault(ctx, `{}`)
+		Expect(fleet.Eventually(ctx, func() error {
+			_, err := f.operator.Apply(ctx, f.edit(customerEdit("guest")))
+			return err
+		})).To(Succeed())
+		f.accepted(ctx, 2)
+	})
+
+	It("is never served in an older form by a fresh process beside a stale peer", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 1, "region-1", "region-1", "region-1")
+		stale := f.gateways[2]
+
+		By("leaving one gateway behind, and losing the store right after the commit")
+		stale.store.SetFault(faultproxy.Fault{Refuse: true})
+		stale.store.CutAll()
+		stale.peers.SetFault(faultproxy.Fault{Freeze: true})
+		freeze(stale)
+		withdrawn := f.apply(ctx, &revision.Edit{Delete: []string{"key/circle-1"}})
+		f.fault(ctx, `{"outage":true}`)
+		f.accepted(ctx, withdrawn.Revision)
+
+		By("starting a gateway that knows the stale one alone")
+		stale.peers.SetFault(faultproxy.Fault{})
+		thaw(stale)
+		fresh := f.startGateway(ctx, "gateway-fresh", "region-1", func(cfg *settings.Gateway) {
+			cfg.SeedPeers = []netip.AddrPort{stale.seed}
+		})
+		Expect(fleet.Eventually(ctx, func() error {
+			a := order(ctx, fresh, circleKey)
+			Expect(a.status).NotTo(Equal(http.StatusOK))
+			d, err := dumpOf(ctx, fresh.Node)
+			if err == nil && d.Revision < withdrawn.Revision {
+				err = errors.New("the fresh gateway is behind")
+			}
+			return err
+		})).To(Succeed())
+		Expect(fresh.Ready(ctx)).To(Succeed())
+		Expect(order(ctx, fresh, dealerKey).status).To(Equal(http.StatusOK))
+		Expect(order(ctx, fresh, circleKey).status).To(Equal(http.StatusUnauthorized))
+	})
+
+	It("is committed, not accepted, while a region is apart, and each region goes on", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 1, "region-1", "region-1", "region-1", "region-2", "region-2", "region-2")
+		near, far := f.gateways[:3], f.gateways[3:]
+
+		By("cutting the regions from each other: the edit is not accepted, and region-1 serves it")
+		home := append(append([]*guardedNode{}, near...), f.controllers...)
+		for _, g := range far {
+			cutFromStore(g)
+		}
+		cutBetween(home, far)
+		applied := f.apply(ctx, customerEdit("guest"))
+		status, err := f.operator.Acceptance(ctx, applied.Revision, 2*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.Accepted).To(BeFalse())
+		Expect(missingRegions(status)).To(Equal([]string{"region-2"}))
+		for _, g := range near {
+			atRevision(ctx, g, applied.Revision)
+		}
+
+		By("serving in both for longer than the bound")
+		f.serveFor(ctx, 8*time.Second, f.gateways...)
+		for _, g := range far {
+			d, err := dumpOf(ctx, g.Node)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(d.Revision).To(Equal(int64(1)))
+		}
+
+		By("accepting the edit when the regions are together again")
+		for _, n := range append(home, far...) {
+			n.peers.SetFault(faultproxy.Fault{})
+		}
+		f.accepted(ctx, applied.Revision)
+		for _, g := range far {
+			atRevision(ctx, g, applied.Revision)
+		}
+	})
+})
+
+// cutBetween cuts every connection between two sets of processes, and none
+// within a set.
+func cutBetween(a, b []*guardedNode) {
+	refuse := func(at, from []*guardedNode) {
+		var sources []netip.Addr
+		for _, n := range from {
+			sources = append(sources, n.source)
+		}
+		for _, n := range at {
+			n.peers.SetFault(faultproxy.Fault{RefuseFrom: sources})
+			n.peers.CutAll()
+		}
+	}
+	refuse(a, b)
+	refuse(b, a)
+}
+
+func freeze(nodes ...*guardedNode) {
+	for _, n := range nodes {
+		Expect(n.Freeze()).To(Succeed())
+	}
+}
+
+func thaw(nodes ...*guardedNode) {
+	for _, n := range nodes {
+		Expect(n.Thaw()).To(Succeed())
+	}
+}
+
+// serveFor sends keyed requests to the gateways for a time; every one must be
+// served.
+func (f *stateFleet) serveFor(ctx context.Context, d time.Duration, gateways ...*guardedNode) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		for _, g := range gateways {
+			a := order(ctx, g, circleKey)
+			Expect(a.status).To(Equal(http.StatusOK), a.body)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func missingRegions(status *acceptance.Status) []string {
+	var regions []string
+	for _, m := range status.Missing {
+		if m.Holds {
+			regions = append(regions, m.Region)
+		}
+	}
+	return regions
+}
--- /dev/null
+++ b/tests/withdrawal_test.go
@@ -0,0 +1,188 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/operatorclient"
+	"fireflypier.example/fireflypier/internal/revision"
+)
+
+// withdrawalBound is the promise: this long after the edit was accepted, a
+// withdrawn key opens no gateway.
+const withdrawalBound = 5 * time.Second
+
+// withdraw deletes the circle's key and returns once that is accepted.
+func (f *stateFleet) withdraw(ctx context.Context) (accepted time.Time) {
+	applied := f.apply(ctx, &revision.Edit{Delete: []string{"key/circle-1"}})
+	f.accepted(ctx, applied.Revision)
+	return time.Now()
+}
+
+// refusedAfter sends the circle's requests to the gateways until some time
+// after the bound. A request that began after the bound must be refused, and never
+// because something else is wrong with the request.
+func refusedAfter(ctx context.Context, accepted time.Time, gateways ...*guardedNode) {
+	deadline := accepted.Add(withdrawalBound)
+	for time.Now().Before(deadline.Add(2 * time.Second)) {
+		for _, g := range gateways {
+			began := time.Now()
+			a := order(ctx, g, circleKey)
+			if began.After(deadline) {
+				Expect(a.status).To(BeElementOf(http.StatusUnauthorized, http.StatusServiceUnavailable), "%s: %s", g.Name, a.body)
+				Expect(a.body).To(ContainSubstring(`"not_run":true`))
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func cutFromStore(n *guardedNode) {
+	n.store.SetFault(faultproxy.Fault{Refuse: true})
+	n.store.CutAll()
+}
+
+func (f *stateFleet) allBut(n *guardedNode) []*guardedNode {
+	var others []*guardedNode
+	for _, other := range append(append([]*guardedNode{}, f.gateways...), f.controllers...) {
+		if other != n {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+var _ = Describe("a withdrawn key", func() {
+	It("opens no gateway on a connection that was open before, nor one frozen and thawed", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 1, "region-1", "region-1", "region-1")
+		connection := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		use := func() int {
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.gateways[0].Addr.String()+"/print/order", bytes.NewBufferString("bands"))
+			Expect(err).NotTo(HaveOccurred())
+			r.Header.Set("Authorization", "Bearer "+circleKey)
+			response, err := connection.Do(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			return response.StatusCode
+		}
+		Expect(use()).To(Equal(http.StatusOK))
+
+		By("freezing a gateway past its bound while the key is withdrawn")
+		frozen := f.gateways[2]
+		freeze(frozen)
+		accepted := f.withdraw(ctx)
+		time.Sleep(time.Until(accepted.Add(withdrawalBound)))
+		Expect(use()).To(Equal(http.StatusUnauthorized))
+
+		By("thawing it with requests already waiting at its door")
+		answers := make(chan answer, 8)
+		for range cap(answers) {
+			go func() {
+				defer GinkgoRecover()
+				answers <- order(ctx, frozen, circleKey)
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		thaw(frozen)
+		for range cap(answers) {
+			a := <-answers
+			Expect(a.status).To(BeElementOf(http.StatusUnauthorized, http.StatusServiceUnavailable), a.body)
+			Expect(a.body).To(ContainSubstring(`"not_run":true`))
+		}
+		refusedAfter(ctx, accepted, f.gateways...)
+		Expect(frozen.Ready(ctx)).To(Succeed())
+		Expect(order(ctx, frozen, dealerKey).status).To(Equal(http.StatusOK))
+	})
+
+	for _, c := range []struct {
+		from         string
+		store, peers bool
+	}{{"the store", true, false}, {"its peers", false, true}, {"both", true, true}} {
+		It("opens no gateway that is cut from "+c.from, func() {
+			ctx := testContext()
+			f := startStateFleet(ctx, 1, "region-1", "region-1", "region-1")
+			apart := f.gateways[2]
+			if c.store {
+				cutFromStore(apart)
+			}
+			if c.peers {
+				cutBetween([]*guardedNode{apart}, f.allBut(apart))
+			}
+			accepted := f.withdraw(ctx)
+			refusedAfter(ctx, accepted, f.gateways...)
+			for _, g := range f.gateways[:2] {
+				Expect(order(ctx, g, dealerKey).status).To(Equal(http.StatusOK))
+			}
+		})
+	}
+
+	It("opens no gateway while the store is out, and keys in force still do", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 1, "region-1", "region-1", "region-1")
+		applied := f.apply(ctx, &revision.Edit{Delete: []string{"key/circle-1"}})
+		f.fault(ctx, `{"outage":true}`)
+		f.accepted(ctx, applied.Revision)
+		refusedAfter(ctx, time.Now(), f.gateways...)
+		for _, g := range f.gateways {
+			Expect(order(ctx, g, dealerKey).status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("opens no gateway when the answer to the edit was lost on the way to the operator", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 2, "region-1", "region-1", "region-1")
+		proxy, err := faultproxy.Start(f.controllers[0].Addr)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+		proxy.SetFault(faultproxy.Fault{DropAnswers: true})
+		e := f.edit(&revision.Edit{Delete: []string{"key/circle-1"}, BasedOn: 1 << 40})
+		lost := operatorclient.New([]netip.AddrPort{proxy.Addr()}, fleet.OperatorToken, operatorclient.WithTimeout(time.Second))
+		_, err = lost.Apply(ctx, e)
+		Expect(err).To(HaveOccurred())
+
+		By("asking the other controller with the same edit")
+		applied, err := f.Operator(f.controllers[1].Node).Apply(ctx, e)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(applied.Revision).To(Equal(int64(2)))
+		f.accepted(ctx, applied.Revision)
+		refusedAfter(ctx, time.Now(), f.gateways...)
+	})
+
+	It("is refused in the end by a gateway that comes back from being cut off for long", func() {
+		ctx := testContext()
+		f := startStateFleet(ctx, 1, "region-1", "region-1", "region-1")
+		apart := f.gateways[2]
+		cutFromStore(apart)
+		cutBetween([]*guardedNode{apart}, f.allBut(apart))
+		accepted := f.withdraw(ctx)
+		Expect(fleet.Eventually(ctx, func() error {
+			if a := order(ctx, apart, dealerKey); a.status != http.StatusServiceUnavailable {
+				return fmt.Errorf("the gateway still answers %d", a.status)
+			}
+			return nil
+		})).To(Succeed())
+		apart.store.SetFault(faultproxy.Fault{})
+		for _, n := range append(f.allBut(apart), apart) {
+			n.peers.SetFault(faultproxy.Fault{})
+		}
+		Expect(fleet.Eventually(ctx, func() error {
+			if a := order(ctx, apart, dealerKey); a.status != http.StatusOK {
+				return errors.New(a.body)
+			}
+			return nil
+		})).To(Succeed())
+		Expect(order(ctx, apart, circleKey).status).To(Equal(http.StatusUnauthorized))
+		refusedAfter(ctx, accepted, f.gateways...)
+	})
+})
