--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,10 +19,12 @@
 	"fireflypier.example/fireflypier/internal/adminapi"
 	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/adoption"
+	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/callerapi"
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
+	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/feed"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
 	"fireflypier.example/fireflypier/internal/limiter"
@@ -108,9 +110,12 @@
 		return err
 	}
 	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
+	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
+	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
 	g.callers, err = listener.Listen(g.cfg.Listen, handler,
 		listener.WithHeaderLimits(g.cfg.MaxHeaderBytes, g.cfg.HeaderTimeout),
-		listener.WithMaxConnections(g.cfg.MaxConnections))
+		listener.WithMaxConnections(g.cfg.MaxConnections, fullStatus, fullBody),
+		listener.WithSlowHeaderAnswer(slowStatus, slowBody))
 	if err != nil {
 		return err
 	}
@@ -139,12 +144,28 @@
 		},
 		Admission: admit,
 		Limiter:   limits,
-		Dispatch:  dispatch.New(engine.NewClient(), schedule.New(g.views), g.logger),
+		Dispatch:  dispatch.New(engine.NewClient(), g.schedule(), g.logger),
 		Plain:     plain,
 		Entry:     g.entry,
 	})
 }
 
+func (g *Gateway) schedule() *schedule.Schedule {
+	return schedule.New(g.views,
+		schedule.WithClock(g.clock),
+		schedule.WithWeight(g.weight),
+		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
+}
+
+// weight returns the rate of a customer in tokens a second.
+func (g *Gateway) weight(customer string) float64 {
+	rate, ok := g.adoption.Current().Rate(customer)
+	if !ok {
+		return 1
+	}
+	return rate.TokensPerSecond
+}
+
 func (g *Gateway) self() member.Member {
 	return member.Member{
 		Name:        g.cfg.Name,
--- a/internal/gossip/server.go
+++ b/internal/gossip/server.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/netip"
 
-	"github.com/go-json-experiment/json"
 	"github.com/pkg/errors"
 
+	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/gossip/gossippb"
 	"fireflypier.example/fireflypier/internal/memberlist"
 	"fireflypier.example/fireflypier/internal/revision"
@@ -57,7 +57,7 @@
 func (g *Gossip) fillConfiguration(reply *gossippb.FetchReply, have int64) error {
 	records, ok := g.parts.Adoption.Records(have)
 	if !ok {
-		data, err := json.Marshal(g.parts.Adoption.Current().Snapshot())
+		data, err := document.Marshal(g.parts.Adoption.Current().Snapshot())
 		reply.Snapshot = data
 		return errors.Wrap(err, "encode snapshot")
 	}
@@ -69,7 +69,7 @@
 func (g *Gossip) fillMembers(reply *gossippb.FetchReply, have int64) error {
 	changes, ok := g.parts.Adoption.Changes(have)
 	if !ok {
-		data, err := json.Marshal(g.parts.Adoption.Members())
+		data, err := document.Marshal(g.parts.Adoption.Members())
 		reply.MemberList = data
 		return errors.Wrap(err, "encode member list")
 	}
@@ -81,7 +81,7 @@
 func encodeAll[T any](items []T) ([][]byte, error) {
 	encoded := make([][]byte, 0, len(items))
 	for i := range items {
-		data, err := json.Marshal(&items[i])
+		data, err := document.Marshal(&items[i])
 		if err != nil {
 			return nil, errors.Wrap(err, "encode difference")
 		}
@@ -93,7 +93,7 @@
 func decodeAll[T any](encoded [][]byte) ([]T, error) {
 	items := make([]T, len(encoded))
 	for i, data := range encoded {
-		if err := json.Unmarshal(data, &items[i]); err != nil {
+		if err := document.Unmarshal(data, &items[i]); err != nil {
 			return nil, errors.Wrap(err, "decode difference")
 		}
 	}
@@ -122,7 +122,7 @@
 func (g *Gossip) adoptConfiguration(snapshot []byte, edits [][]byte) error {
 	if len(snapshot) > 0 {
 		s := revision.Empty()
-		if err := json.Unmarshal(snapshot, s); err != nil {
+		if err := document.Unmarshal(snapshot, s); err != nil {
 			return errors.Wrap(err, "decode snapshot")
 		}
 		g.parts.Adoption.Adopt(s)
@@ -137,7 +137,7 @@
 func (g *Gossip) adoptMembers(reply *gossippb.FetchReply) error {
 	if len(reply.GetMemberList()) > 0 {
 		list := memberlist.Empty()
-		if err := json.Unmarshal(reply.GetMemberList(), list); err != nil {
+		if err := document.Unmarshal(reply.GetMemberList(), list); err != nil {
 			return errors.Wrap(err, "decode member list")
 		}
 		g.parts.Adoption.AdoptMembers(list)
--- a/internal/publication/publication.go
+++ b/internal/publication/publication.go
@@ -12,6 +12,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/jonboulle/clockwork"
 
+	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/head"
 	"fireflypier.example/fireflypier/internal/objectstore"
@@ -124,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(data, v); err != nil {
+	if err := document.Unmarshal(data, v); err != nil {
 		return failure.Wrap(failure.Internal, err, "decode object %s", key)
 	}
 	return nil
--- a/internal/publication/publish.go
+++ b/internal/publication/publish.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-json-experiment/json"
 
+	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/head"
 	"fireflypier.example/fireflypier/internal/revision"
@@ -131,7 +132,7 @@
 }
 
 func (p *Publication) put(ctx context.Context, key string, v any) error {
-	data, err := json.Marshal(v, json.Deterministic(true))
+	data, err := document.Marshal(v)
 	if err != nil {
 		return failure.Wrap(failure.Internal, err, "encode object %s", key)
 	}
