--- a/internal/freshness/model_test.go
+++ b/internal/freshness/model_test.go
@@ -105,7 +105,7 @@
 	}
 	add(12, w.advanceCall)
 	add(0, func() { w.whenRunning(w.read) })
-	add(0, func() { w.whenRunning(func(n *node) { w.exchange(n, w.pick()) }) })
+	add(1, func() { w.whenRunning(func(n *node) { w.exchange(n, w.pick()) }) })
 	add(1, func() { w.whenRunning(w.confirm) })
 	add(1, w.commit)
 	add(4, w.offer)
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -22,8 +22,9 @@
 // Dialer keeps connections to other processes. Close it when it is no longer
 // needed.
 type Dialer struct {
-	pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
-	dialer net.Dialer
+	pool    *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	dialer  net.Dialer
+	traffic traffic
 }
 
 // Option changes a Dialer under construction.
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.New(countedConn{conn, &d.traffic}), nil
 }
 
 // Close closes the idle connections.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,7 @@
 	listener net.Listener
 	logger   hclog.Logger
 	done     chan struct{}
+	traffic  traffic
 }
 
 // Listen returns a server that listens on addr; port zero takes a free one.
@@ -55,7 +56,7 @@
 	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{
 		Log: func(err error) { s.logger.Debug("peer connection ended", "error", err) },
 	})
-	return errors.Wrap(server.Serve(ctx, s.listener), "serve peers")
+	return errors.Wrap(server.Serve(ctx, countedListener{s.listener, &s.traffic}), "serve peers")
 }
 
 // Done is closed when Run has returned.
--- /dev/null
+++ b/internal/replica/scale_test.go
@@ -0,0 +1,374 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"fireflypier.example/fireflypier/internal/acceptance"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/member"
+	"fireflypier.example/fireflypier/internal/memberlist"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/peer"
+	"fireflypier.example/fireflypier/internal/platform"
+	"fireflypier.example/fireflypier/internal/reconciler"
+	"fireflypier.example/fireflypier/internal/replica"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/standin/cloud"
+	"fireflypier.example/fireflypier/internal/standin/tablestore"
+)
+
+const (
+	scaleBound    = 4 * time.Second
+	scaleModels   = 280
+	scaleAdapters = 2000
+	idleWindow    = 10 * time.Second
+	burstEdits    = 10
+	burstInterval = 3 * time.Second
+	outageWindow  = 12 * time.Second
+)
+
+// process is one replica with its server.
+type process struct {
+	replica *replica.Replica
+	server  *peer.Server
+	dialer  *peer.Dialer
+}
+
+// site is a fleet of in-process replicas over loopback.
+type site struct {
+	b         *testing.B
+	cloud     *cloud.Cloud
+	addr      netip.AddrPort
+	processes []*process
+	accept    *acceptance.Acceptance
+	nodes     int
+	storeIO   atomic.Int64
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+// meteredListener counts the bytes of the platform's connections.
+type meteredListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+type meteredConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (l meteredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return meteredConn{c, l.n}, err
+}
+
+func (c meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func startSite(ctx context.Context, b *testing.B, nodes, down int) *site {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &site{b: b, nodes: nodes - down, cancel: cancel}
+	clock := clockwork.NewRealClock()
+	s.cloud = cloud.New(cloud.WeightConfig{}, 0, clock)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: s.cloud.Handler()}
+	go func() { _ = server.Serve(meteredListener{l, &s.storeIO}) }()
+	b.Cleanup(func() { _ = server.Close() })
+	s.addr = netip.MustParseAddrPort(l.Addr().String())
+	s.seed(ctx, down)
+	for i := range s.nodes {
+		s.start(ctx, i, member.Gateway)
+		s.start(ctx, i, member.Controller)
+	}
+	return s
+}
+
+// seed publishes a set of the full size and lists the nodes that are down:
+// their address takes connections and never answers.
+func (s *site) seed(ctx context.Context, down int) {
+	r := s.newReplica(member.Member{Incarnation: "seed"}, peer.NewDialer())
+	if _, err := r.Publication().Publish(ctx, &revision.Edit{ID: "base", Put: fullSet()}); err != nil {
+		s.b.Fatal(err)
+	}
+	hole, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.b.Fatal(err)
+	}
+	s.b.Cleanup(func() { _ = hole.Close() })
+	err = r.Register().Change(ctx, memberlist.Empty(), func(*memberlist.List) *memberlist.Change {
+		c := &memberlist.Change{}
+		for i := range down {
+			for _, role := range []member.Role{member.Gateway, member.Controller} {
+				c.Put = append(c.Put, s.member(10_000+i, role, netip.MustParseAddrPort(hole.Addr().String())))
+			}
+		}
+		return c
+	})
+	if err != nil {
+		s.b.Fatal(err)
+	}
+}
+
+func fullSet() object.Set {
+	set := object.Set{
+		Models: map[string]object.Model{}, Adapters: map[string]object.Adapter{},
+		Customers: map[string]object.Customer{"circle": {Rate: "small"}},
+		Rates:     map[string]object.Rate{"small": {TokensPerSecond: 1000, BurstTokens: 1000}},
+		Pools:     map[string]object.Pool{"engines": {Kind: object.PoolEngines}},
+		Targets: map[string]object.Target{"engine-0": {
+			Pool: "engines", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "dc-1", VM: "vm", MemoryBytes: 1 << 40,
+		}},
+	}
+	for i := range scaleModels {
+		set.Models[fmt.Sprintf("model-%03d", i)] = object.Model{Pool: "engines", Version: "1", MemoryBytes: 1 << 33}
+	}
+	for i := range scaleAdapters {
+		set.Adapters[fmt.Sprintf("adapter-%04d", i)] = object.Adapter{
+			Model: fmt.Sprintf("model-%03d", i%scaleModels), Version: "1", MemoryBytes: 1 << 26,
+		}
+	}
+	return set
+}
+
+func (s *site) member(i int, role member.Role, addr netip.AddrPort) member.Member {
+	return member.Member{
+		Name: fmt.Sprintf("%s-%d", role, i), Incarnation: uuid.NewString(), Role: role,
+		Region: fmt.Sprintf("region-%d", i%2), DataCentre: fmt.Sprintf("dc-%d", i%6),
+		Address: addr, PeerAddress: addr, State: member.Live, Started: time.Now(),
+	}
+}
+
+func (s *site) newReplica(self member.Member, dialer *peer.Dialer) *replica.Replica {
+	p := platform.New(s.addr)
+	return replica.New(replica.Parts{
+		Self: self, Bound: scaleBound, Table: p, Objects: p.Objects(), Dialer: dialer,
+		Clock: clockwork.NewRealClock(), Logger: hclog.NewNullLogger(),
+	})
+}
+
+func (s *site) start(ctx context.Context, i int, role member.Role) {
+	server, err := peer.Listen(fleet.FreeAddr(), hclog.NewNullLogger())
+	if err != nil {
+		s.b.Fatal(err)
+	}
+	p := &process{server: server, dialer: peer.NewDialer()}
+	p.replica = s.newReplica(s.member(i, role, server.Addr()), p.dialer)
+	if err := p.replica.Serve(server.Mux()); err != nil {
+		s.b.Fatal(err)
+	}
+	s.processes = append(s.processes, p)
+	s.wg.Go(func() { _ = server.Run(ctx) })
+	s.wg.Go(func() { p.replica.Run(ctx) })
+	if role != member.Controller || i != 0 {
+		return
+	}
+	s.accept = acceptance.New(acceptance.Parts{
+		Adoption: p.replica.Adoption(), Gossip: p.replica.Gossip(), Silent: p.replica.Membership().Silent,
+		Clock: clockwork.NewRealClock(), Logger: hclog.NewNullLogger(),
+	})
+	settle := reconciler.New(reconciler.Parts{
+		Adoption: p.replica.Adoption(), Register: p.replica.Register(), Gossip: p.replica.Gossip(),
+		Owns: func() bool { return true }, Clock: clockwork.NewRealClock(), Logger: hclog.NewNullLogger(),
+	})
+	s.wg.Go(func() { s.accept.Run(ctx) })
+	s.wg.Go(func() { settle.Run(ctx) })
+}
+
+// await polls until every process satisfies done, and returns the time it
+// took.
+func (s *site) await(limit time.Duration, done func(*process) bool) time.Duration {
+	began := time.Now()
+	for time.Since(began) < limit {
+		if !slices.ContainsFunc(s.processes, func(p *process) bool { return !done(p) }) {
+			return time.Since(began)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.b.Errorf("not reached within %s", limit)
+	return limit
+}
+
+// usage is what the fleet has used up to a moment.
+type usage struct {
+	at                time.Time
+	peers, writes     int64
+	store, reads, ops int64
+	cpu               time.Duration
+}
+
+func (s *site) usage() usage {
+	u := usage{at: time.Now(), store: s.storeIO.Load()}
+	for _, p := range s.processes {
+		for _, count := range []func() (int64, int64){p.server.Traffic, p.dialer.Traffic} {
+			bytes, writes := count()
+			u.peers += bytes
+			u.writes += writes
+		}
+	}
+	var counts tablestore.Counts
+	if err := json.Unmarshal(s.control(http.MethodGet, "/standin/counts", ""), &counts); err != nil {
+		s.b.Fatal(err)
+	}
+	u.reads, u.ops = counts.Reads, counts.Commits+counts.Conflicts+counts.Puts
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		s.b.Fatal(err)
+	}
+	u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	return u
+}
+
+// control calls the stand-in platform past the counted connections.
+func (s *site) control(method, path, body string) []byte {
+	answer := httptest.NewRecorder()
+	s.cloud.Handler().ServeHTTP(answer, httptest.NewRequest(method, path, strings.NewReader(body)))
+	if answer.Code != http.StatusOK {
+		s.b.Fatalf("%s answers %d", path, answer.Code)
+	}
+	return answer.Body.Bytes()
+}
+
+// report gives the use of one node a second between two moments.
+func (s *site) report(name string, from, to usage) {
+	nodeSeconds := to.at.Sub(from.at).Seconds() * float64(s.nodes)
+	perNode := func(n int64) float64 { return float64(n) / nodeSeconds }
+	s.b.ReportMetric(perNode(to.peers-from.peers), name+"-peer-B/s")
+	s.b.ReportMetric(perNode(to.writes-from.writes), name+"-peer-writes/s")
+	s.b.ReportMetric(perNode(to.store-from.store), name+"-store-B/s")
+	s.b.ReportMetric(float64(to.reads-from.reads)/to.at.Sub(from.at).Seconds(), name+"-store-reads/s")
+	s.b.ReportMetric(100*(to.cpu-from.cpu).Seconds()/nodeSeconds, name+"-cpu-%")
+}
+
+// watchFresh counts the looks at a process that would have refused.
+func (s *site) watchFresh(ctx context.Context) (stale *atomic.Int64) {
+	stale = &atomic.Int64{}
+	s.wg.Go(func() {
+		for ctx.Err() == nil {
+			for _, p := range s.processes {
+				if p.replica.Adoption().Fresh() != nil {
+					stale.Add(1)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	return stale
+}
+
+func (s *site) burst(ctx context.Context) (accepted, everywhere []time.Duration) {
+	publication := s.processes[1].replica.Publication()
+	for i := range burstEdits {
+		next := time.Now().Add(burstInterval)
+		e := &revision.Edit{ID: uuid.NewString(), BasedOn: 1 << 40}
+		e.Put.Adapters = map[string]object.Adapter{fmt.Sprintf("adapter-%04d", i): {Model: "model-000", Version: "2", MemoryBytes: 1 << 26}}
+		record, err := publication.Publish(ctx, e)
+		if err != nil {
+			s.b.Fatal(err)
+		}
+		began := time.Now()
+		s.accept.Committed(record)
+		wait, cancel := context.WithTimeout(ctx, 20*time.Second)
+		if !s.accept.Wait(wait, record.Revision).Accepted {
+			s.b.Errorf("revision %d is not accepted", record.Revision)
+		}
+		cancel()
+		accepted = append(accepted, time.Since(began))
+		s.await(20*time.Second, func(p *process) bool { return p.replica.Adoption().Current().Revision() >= record.Revision })
+		everywhere = append(everywhere, time.Since(began))
+		time.Sleep(time.Until(next))
+	}
+	slices.Sort(accepted)
+	slices.Sort(everywhere)
+	return accepted, everywhere
+}
+
+func (s *site) memory() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse+m.StackInuse) / float64(s.nodes) / (1 << 20)
+}
+
+// BenchmarkSite measures what one node, a gateway and a controller, spends on
+// the shared state, with 10 % of the nodes down: at rest, in a burst of 20
+// edits a minute, and while the store is out.
+//
+//	go test ./internal/replica -run '^$' -bench Site -benchtime 1x
+func BenchmarkSite(b *testing.B) {
+	for _, nodes := range []int{8, 32, 128, 320} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			for range b.N {
+				measureSite(b, nodes)
+			}
+		})
+	}
+}
+
+func measureSite(b *testing.B, nodes int) {
+	ctx := b.Context()
+	s := startSite(ctx, b, nodes, nodes/10)
+	listed := 2*s.nodes + 2*(nodes/10)
+	joined := s.await(3*time.Minute, func(p *process) bool {
+		return len(p.replica.Adoption().Members().Members) == listed && p.replica.Adoption().Current().Revision() > 0
+	})
+	b.ReportMetric(joined.Seconds(), "join-s")
+	time.Sleep(5 * time.Second)
+	stale := s.watchFresh(ctx)
+
+	before := s.usage()
+	time.Sleep(idleWindow)
+	after := s.usage()
+	s.report("idle", before, after)
+
+	before = s.usage()
+	accepted, everywhere := s.burst(ctx)
+	after = s.usage()
+	s.report("burst", before, after)
+	b.ReportMetric(accepted[len(accepted)/2].Seconds(), "accepted-median-s")
+	b.ReportMetric(accepted[len(accepted)-1].Seconds(), "accepted-max-s")
+	b.ReportMetric(everywhere[len(everywhere)-1].Seconds(), "everywhere-max-s")
+	b.ReportMetric(float64(stale.Load()), "stale-looks")
+
+	s.control(http.MethodPost, "/standin/fault", `{"outage":true}`)
+	time.Sleep(3 * time.Second)
+	stale.Store(0)
+	before = s.usage()
+	time.Sleep(outageWindow)
+	after = s.usage()
+	s.report("outage", before, after)
+	b.ReportMetric(float64(stale.Load()), "outage-stale-looks")
+	b.ReportMetric(s.memory(), "node-MB")
+	s.cancel()
+	s.wg.Wait()
+}
--- a/tests/config_test.go
+++ b/tests/config_test.go
@@ -330,14 +330,13 @@
 		By("leaving one gateway behind, and losing the store right after the commit")
 		stale.store.SetFault(faultproxy.Fault{Refuse: true})
 		stale.store.CutAll()
-		stale.peers.SetFault(faultproxy.Fault{Freeze: true})
 		freeze(stale)
 		withdrawn := f.apply(ctx, &revision.Edit{Delete: []string{"key/circle-1"}})
 		f.fault(ctx, `{"outage":true}`)
 		f.accepted(ctx, withdrawn.Revision)
 
-		By("starting a gateway that knows the stale one alone")
-		stale.peers.SetFault(faultproxy.Fault{})
+		By("starting a gateway that knows the stale one alone, which hears of nobody else")
+		cutBetween([]*guardedNode{stale}, append(f.gateways[:2:2], f.controllers...))
 		thaw(stale)
 		fresh := f.startGateway(ctx, "gateway-fresh", "region-1", func(cfg *settings.Gateway) {
 			cfg.SeedPeers = []netip.AddrPort{stale.seed}
