--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -1,10 +1,13 @@
-// Package reconciler settles changes of the member list: once the witnesses
-// of every earlier list have adopted it, edits need a majority of the present
-// list alone.
+// Package reconciler keeps the member list in order. It settles changes: once
+// the witnesses of every earlier list have adopted one, edits need a majority
+// of the present list alone. And it takes out members whose VM the platform
+// no longer lists.
 package reconciler
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,15 +19,26 @@
 	"fireflypier.example/fireflypier/internal/member"
 	"fireflypier.example/fireflypier/internal/memberlist"
 	"fireflypier.example/fireflypier/internal/register"
+	"fireflypier.example/fireflypier/internal/vmlist"
 )
 
-const interval = 2 * time.Second
+const (
+	interval = 2 * time.Second
+	// listLag is the age from which a member's VM must be in the platform's
+	// list.
+	listLag = 2 * time.Minute
+)
 
 // Parts are what a reconciler stands on.
 type Parts struct {
 	Adoption *adoption.Adoption
 	Register *register.Register
 	Gossip   *gossip.Gossip
+	// VMs is the platform's list; Silent reports whether a member is silent,
+	// and Self is the address of this VM.
+	VMs    vmlist.List
+	Silent func(incarnation string) bool
+	Self   netip.Addr
 	// Owns reports whether this process is the one to reconcile; two at
 	// once do no harm.
 	Owns   func() bool
@@ -32,7 +46,7 @@
 	Logger hclog.Logger
 }
 
-// Reconciler settles the member list.
+// Reconciler keeps the member list in order.
 type Reconciler struct {
 	parts Parts
 	done  chan struct{}
@@ -58,6 +72,9 @@
 		if err := r.settle(ctx); err != nil && ctx.Err() == nil {
 			r.parts.Logger.Warn("member list not settled", "error", err)
 		}
+		if err := r.dropGone(ctx); err != nil && ctx.Err() == nil {
+			r.parts.Logger.Warn("members of VMs that are gone not taken out", "error", err)
+		}
 	}
 }
 
@@ -91,3 +108,49 @@
 		return &memberlist.Change{Settled: settled}
 	})
 }
+
+// dropGone takes out members that are silent and whose VM is not in the
+// platform's list. The list must name this process's own VM.
+func (r *Reconciler) dropGone(ctx context.Context) error {
+	list := r.parts.Adoption.Members()
+	now := r.parts.Clock.Now()
+	var silent []member.Member
+	for _, m := range list.Members {
+		if now.Sub(m.Started) > listLag && r.parts.Silent(m.Incarnation) {
+			silent = append(silent, m)
+		}
+	}
+	if len(silent) == 0 {
+		return nil
+	}
+	vms, err := r.parts.VMs.VMs(ctx)
+	if err != nil {
+		return err
+	}
+	listed := map[netip.Addr]bool{}
+	for _, vm := range vms {
+		listed[vm.Address] = true
+	}
+	if !listed[r.parts.Self] {
+		return nil
+	}
+	var gone []string
+	for _, m := range silent {
+		if !listed[m.PeerAddress.Addr()] {
+			gone = append(gone, m.Incarnation)
+		}
+	}
+	if len(gone) == 0 {
+		return nil
+	}
+	return r.parts.Register.Change(ctx, list, func(now *memberlist.List) *memberlist.Change {
+		left := slices.DeleteFunc(gone, func(incarnation string) bool {
+			_, ok := now.Find(incarnation)
+			return !ok
+		})
+		if len(left) == 0 {
+			return nil
+		}
+		return &memberlist.Change{Drop: left}
+	})
+}
