Claim, retry and resume: at most once, whole answers, not run

Claims by compare-and-swap before the first byte, written in groups; answers recorded; a transport that knows whether a byte left; retry budget, jitter and ejection; frame timeouts; resumption and cancel.

--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
+	"github.com/jonboulle/clockwork"
 
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/failure"
@@ -49,6 +50,9 @@
 	return nil
 }
 
+// Flush implements dispatch.Sink.
+func (a *wholeAnswer) Flush() error { return nil }
+
 // Finish implements dispatch.Sink.
 func (a *wholeAnswer) Finish(reason string, usage engine.Usage) error {
 	a.reason = reason
@@ -98,9 +102,12 @@
 	buffer       []byte
 	includeUsage bool
 	started      bool
+	clock        clockwork.Clock
+	writeTimeout time.Duration
+	deadlineSet  time.Time
 }
 
-func newEventStream(w http.ResponseWriter, s *shape, id, model string, created time.Time, includeUsage bool) (*eventStream, error) {
+func (api *API) newEventStream(w http.ResponseWriter, s *shape, id, model string, created time.Time, includeUsage bool) (*eventStream, error) {
 	head, err := json.Marshal(struct {
 		ID      string `json:"id"`
 		Object  string `json:"object"`
@@ -116,6 +123,8 @@
 		shape:        s,
 		head:         append([]byte("data: "), head[:len(head)-1]...),
 		includeUsage: includeUsage,
+		clock:        api.clock,
+		writeTimeout: api.limits.WriteTimeout,
 	}, nil
 }
 
@@ -156,15 +165,32 @@
 // begin returns the buffer with the head that all events share.
 func (s *eventStream) begin() []byte { return append(s.buffer[:0], s.head...) }
 
-// write sends events and keeps their buffer for the next ones.
+// write hands events to the connection's buffer and keeps their own buffer for
+// the next ones. It blocks while the caller is slow, which holds back the
+// engine, and fails after the write timeout.
 func (s *eventStream) write(events []byte) error {
 	s.buffer = events
-	if _, err := s.w.Write(events); err != nil {
-		return err
-	}
+	s.extendDeadline()
+	_, err := s.w.Write(events)
+	return err
+}
+
+// Flush implements dispatch.Sink.
+func (s *eventStream) Flush() error {
+	s.extendDeadline()
 	return s.flusher.Flush()
 }
 
+// extendDeadline allows at least half of the write timeout from now.
+func (s *eventStream) extendDeadline() {
+	now := s.clock.Now()
+	if now.Sub(s.deadlineSet) < s.writeTimeout/2 {
+		return
+	}
+	s.deadlineSet = now
+	_ = s.flusher.SetWriteDeadline(now.Add(s.writeTimeout))
+}
+
 // Finish implements dispatch.Sink.
 func (s *eventStream) Finish(reason string, usage engine.Usage) error {
 	s.start()
@@ -189,7 +215,10 @@
 		b = append(b, data...)
 		b = append(b, "}\n\n"...)
 	}
-	return s.write(append(b, "data: [DONE]\n\n"...))
+	if err := s.write(append(b, "data: [DONE]\n\n"...)); err != nil {
+		return err
+	}
+	return s.Flush()
 }
 
 // fail ends a stream that has begun with an error event, or answers with an
@@ -208,5 +237,7 @@
 		return
 	}
 	event := append([]byte("data: "), data...)
-	_ = s.write(append(event, "\n\n"...))
+	if s.write(append(event, "\n\n"...)) == nil {
+		_ = s.Flush()
+	}
 }
--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -15,6 +15,7 @@
 	"github.com/go-json-experiment/json"
 
 	"fireflypier.example/fireflypier/internal/admission"
+	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/limiter"
@@ -28,6 +29,9 @@
 	headerRequestID     = "X-Request-Id"
 	headerClass         = "X-Priority-Class"
 	headerAuthorization = "Authorization"
+	headerNotRepeatable = "X-Not-Repeatable"
+	headerIdempotency   = "Idempotency-Key"
+	maxIdempotencyKey   = 255
 	maxRequestIDLength  = 128
 )
 
@@ -38,6 +42,10 @@
 	BodyTimeout  time.Duration
 	// RequestTimeout bounds a request from its arrival.
 	RequestTimeout time.Duration
+	// WriteTimeout bounds one write to a slow caller.
+	WriteTimeout time.Duration
+	// MaxRecordedBytes bounds the recorded body of an answer.
+	MaxRecordedBytes int
 	// DefaultMaxTokens bounds answers whose request names no bound.
 	DefaultMaxTokens int
 }
@@ -58,6 +66,8 @@
 	Admission *admission.Admission
 	Limiter   *limiter.Limiter
 	Dispatch  *dispatch.Dispatch
+	// Claims make requests with an id run at most once.
+	Claims *claim.Claims
 	// Plain serves every path that is not the API's own.
 	Plain http.Handler
 	// Entry answers GET /v1/entry.
@@ -189,47 +199,8 @@
 		WriteError(w, err)
 		return
 	}
-	tokens := api.generate(w, r, req, body, s)
-	charge.Settle(float64(tokens))
-}
-
-// generate runs the request and returns the tokens to be paid for.
-func (api *API) generate(w http.ResponseWriter, r *http.Request, req *request.Request, body *generationBody, s *shape) int {
-	if body.Stream {
-		return api.generateStream(w, r, req, body, s)
-	}
-	var answer wholeAnswer
-	delivered, err := api.parts.Dispatch.Generate(r.Context(), req, &answer)
-	if err != nil {
-		api.logRefusal(req, err)
-		WriteError(w, err)
-		return paid(req, delivered)
-	}
-	answer.write(w, s, req.ID, body.Model, req.Arrival)
-	return paid(req, delivered)
-}
-
-func (api *API) generateStream(w http.ResponseWriter, r *http.Request, req *request.Request, body *generationBody, s *shape) int {
-	stream, err := newEventStream(w, s, req.ID, body.Model, req.Arrival, body.StreamOptions.IncludeUsage)
-	if err != nil {
-		WriteError(w, err)
-		return 0
-	}
-	delivered, err := api.parts.Dispatch.Generate(r.Context(), req, stream)
-	if err != nil {
-		api.logRefusal(req, err)
-		stream.fail(err)
-	}
-	return paid(req, delivered)
-}
-
-// paid returns the tokens that a request used: nothing when none was
-// delivered.
-func paid(req *request.Request, delivered int) int {
-	if delivered == 0 {
-		return 0
-	}
-	return req.PromptTokens() + delivered
+	g := &generation{w: w, r: r, request: req, body: body, raw: data, shape: s}
+	charge.Settle(float64(api.run(g)))
 }
 
 func (api *API) logRefusal(req *request.Request, err error) {
@@ -252,6 +223,10 @@
 	if err != nil {
 		return nil, err
 	}
+	notRepeatable, err := notRepeatableOf(r.Header.Get(headerNotRepeatable))
+	if err != nil {
+		return nil, err
+	}
 	prompt := body.Prompt
 	if s.chat {
 		prompt = body.Messages
@@ -267,6 +242,8 @@
 		MaxTokens: maxTokens,
 		Arrival:   arrival,
 		Deadline:  arrival.Add(api.limits.RequestTimeout),
+
+		NotRepeatable: notRepeatable,
 	}, nil
 }
 
--- a/internal/callerapi/body.go
+++ b/internal/callerapi/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
@@ -32,9 +33,12 @@
 
 func (api *API) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	deadline := api.clock.Now().Add(api.limits.BodyTimeout)
-	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(deadline)
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
+		// A deadline that passes later would cancel the running request.
+		_ = controller.SetReadDeadline(time.Time{})
 		return data, nil
 	}
 	return nil, bodyError(err)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,29 +6,45 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"fireflypier.example/fireflypier/internal/ejection"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/request"
+	"fireflypier.example/fireflypier/internal/retry"
 	"fireflypier.example/fireflypier/internal/schedule"
 )
 
-// maxAttempts bounds the attempts of one request that make no progress.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the attempts of one request that make no progress.
+	maxAttempts = 4
+	// excludeWait is how long a request waits for an engine that it has not
+	// tried and that is not ejected, before it takes any.
+	excludeWait = 250 * time.Millisecond
+	// cancelTimeout bounds the message that ends an attempt at its engine.
+	cancelTimeout = 2 * time.Second
+)
 
-// Engines starts generations; engine.Client implements it.
+// Engines runs generations; engine.Client implements it.
 type Engines interface {
 	// Generate starts an attempt; see engine.Client.
 	Generate(ctx context.Context, addr netip.AddrPort, req *engine.GenerateRequest) (*engine.Stream, error)
+	// Cancel ends an attempt.
+	Cancel(ctx context.Context, addr netip.AddrPort, attemptID string) error
 }
 
 // Sink receives an answer. Its errors mean that the caller has left.
 type Sink interface {
-	// Token receives the next token.
+	// Token receives the next token. The sink may keep it until Flush.
 	Token(text string) error
+	// Flush sends the tokens that were kept; it is called before each wait.
+	Flush() error
 	// Finish receives the end of the answer.
 	Finish(reason string, usage engine.Usage) error
 }
@@ -38,101 +54,126 @@
 	engines  Engines
 	schedule *schedule.Schedule
 	logger   hclog.Logger
+	clock    clockwork.Clock
+	budget   *retry.Budget
+	ejection *ejection.Ejection
+	counters *counters
+}
+
+// Option changes a Dispatch under construction.
+type Option func(*Dispatch)
+
+// WithClock replaces the real clock.
+func WithClock(c clockwork.Clock) Option { return func(d *Dispatch) { d.clock = c } }
+
+// WithRetries shares a budget and the ejected targets with others.
+func WithRetries(b *retry.Budget, e *ejection.Ejection) Option {
+	return func(d *Dispatch) {
+		d.budget = b
+		d.ejection = e
+	}
+}
+
+// WithMetrics registers the metrics of d.
+func WithMetrics(r prometheus.Registerer) Option {
+	return func(d *Dispatch) { d.counters.register(r) }
 }
 
 // New returns a dispatch that takes places from s.
-func New(engines Engines, s *schedule.Schedule, logger hclog.Logger) *Dispatch {
-	return &Dispatch{engines: engines, schedule: s, logger: logger}
+func New(engines Engines, s *schedule.Schedule, logger hclog.Logger, opts ...Option) *Dispatch {
+	clock := clockwork.NewRealClock()
+	d := &Dispatch{
+		engines: engines, schedule: s, logger: logger, clock: clock,
+		budget: retry.NewBudget(clock), ejection: ejection.New(clock), counters: newCounters(),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // progress is how far an answer has come.
 type progress struct {
-	offset  int
-	exclude []string
+	offset int
+	// tried are the engines that failed since the last token.
+	tried []string
+	// mayHaveRun is true once an attempt may have run at an engine.
+	mayHaveRun bool
 }
 
 // Generate runs r and gives its answer to sink. It returns the number of
 // tokens delivered. An error after the first token means that the answer is
-// incomplete; before it, the error's answer tells whether the request ran.
+// incomplete. An error whose answer says "not run" is certain of every
+// attempt. A request that is not repeatable is tried again only after
+// attempts that certainly did not run.
 func (d *Dispatch) Generate(ctx context.Context, r *request.Request, sink Sink) (int, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	d.budget.Request(r.Weights.Pool)
 	p := &progress{}
-	var err error
-	for attempt := 0; attempt < maxAttempts; attempt++ {
+	for failures := 0; ; {
 		before := p.offset
-		var done bool
-		done, err = d.attempt(ctx, r, p, sink)
-		if done {
-			return p.offset, err
+		err := d.attempt(ctx, r, p, sink)
+		if err == nil {
+			return p.offset, nil
+		}
+		progressed := p.offset > before
+		if progressed {
+			failures = 0
+			p.tried = p.tried[max(0, len(p.tried)-1):]
+			d.counters.resumed.Inc()
 		}
-		if p.offset > before {
-			attempt = 0
-			p.exclude = nil
+		failures++
+		if !d.mayRetry(ctx, r, p, err, failures, progressed) {
+			return p.offset, certain(ctx, err, p)
 		}
+		d.pause(ctx, d.budget.Pause(failures))
 	}
-	return p.offset, err
 }
 
-// attempt makes one attempt. done is false when another attempt may follow.
-func (d *Dispatch) attempt(ctx context.Context, r *request.Request, p *progress, sink Sink) (done bool, err error) {
-	place, err := d.schedule.Acquire(ctx, r, p.exclude)
-	if err != nil {
-		return true, err
+// mayRetry reports whether another attempt may follow.
+func (d *Dispatch) mayRetry(ctx context.Context, r *request.Request, p *progress, err error, failures int, progressed bool) bool {
+	var final *finalError
+	switch {
+	case errors.As(err, &final), ctx.Err() != nil, failures >= maxAttempts:
+		return false
+	case r.NotRepeatable && p.mayHaveRun:
+		return false
 	}
-	defer place.Release()
-	if err := r.Ticket.Check(); err != nil {
-		return true, err
-	}
-	req := generateRequest(r, p.offset)
-	logger := d.logger.With("request_id", r.ID, "attempt_id", req.AttemptID, "target", place.Target)
-	stream, err := d.engines.Generate(ctx, place.Address, req)
-	if err != nil {
-		logger.Info("attempt not begun", "reason", err)
-		p.exclude = append(p.exclude, place.Target)
-		return failure.Is(err, failure.BadRequest) || ctx.Err() != nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	done, err = d.relay(stream, p, sink)
-	if err != nil {
-		logger.Info("attempt ended early", "reason", err, "offset", p.offset)
-	}
-	return done || ctx.Err() != nil, err
+	return progressed || d.budget.Take(r.Weights.Pool)
 }
 
-func generateRequest(r *request.Request, offset int) *engine.GenerateRequest {
-	return &engine.GenerateRequest{
-		AttemptID: uuid.NewString(),
-		Model:     r.Weights.Model,
-		Version:   r.Weights.Version,
-		Adapter:   r.Weights.Adapter,
-		Prompt:    r.Prompt,
-		Sampling:  r.Sampling,
-		MaxTokens: r.MaxTokens,
-		Offset:    offset,
-		Priority:  r.Priority(),
+// certain takes "not run" back where an attempt may have run.
+func certain(ctx context.Context, err error, p *progress) error {
+	var final *finalError
+	if errors.As(err, &final) {
+		err = final.cause
 	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && p.mayHaveRun:
+		return failure.Wrap(failure.Canceled, err, "the caller left")
+	case p.offset > 0 && failure.From(err).Kind != failure.Canceled:
+		return failure.Wrap(failure.TargetFailed, err, "the answer broke off after %d tokens", p.offset)
+	case p.mayHaveRun && failure.From(err).Answer().NotRun:
+		return failure.Wrap(failure.OutcomeUnknown, err, "an attempt may have run")
+	case failure.Is(err, failure.TargetFailed) && !p.mayHaveRun:
+		return failure.Wrap(failure.NoReplica, err, "no engine could be reached")
+	}
+	return err
 }
 
-// relay copies frames to the sink. done is false when the stream broke and
-// can be resumed.
-func (d *Dispatch) relay(stream *engine.Stream, p *progress, sink Sink) (done bool, err error) {
-	var f engine.Frame
-	for {
-		if err := stream.Next(&f); err != nil {
-			return false, err
-		}
-		switch {
-		case f.Done && f.Offset == p.offset:
-			return true, sink.Finish(f.FinishReason, f.Usage)
-		case f.Offset < p.offset:
-			continue
-		case f.Offset > p.offset || f.Done:
-			return false, failure.New(failure.TargetFailed, "the engine skipped tokens %d to %d", p.offset, f.Offset)
-		}
-		if err := sink.Token(f.Text); err != nil {
-			return true, failure.Wrap(failure.Canceled, err, "the caller left")
-		}
-		p.offset++
+func (d *Dispatch) pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-d.clock.After(wait):
+	case <-ctx.Done():
 	}
 }
+
+// finalError marks an error after which no other attempt follows.
+type finalError struct{ cause error }
+
+// Error returns the text of the cause.
+func (e *finalError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *finalError) Unwrap() error { return e.cause }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,9 +16,11 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/transport"
 )
 
 const (
@@ -27,14 +29,21 @@
 	idleConnsPerTarget = 64
 	idleConnTimeout    = 90 * time.Second
 	maxReportBytes     = 16 << 20
-	maxFrameBytes      = 1 << 20
-	streamBufferBytes  = 4 << 10
+
+	defaultFirstFrameTimeout = 15 * time.Second
+	defaultFrameTimeout      = 3 * time.Second
+	maxFrameBytes            = 1 << 20
+	streamBufferBytes        = 4 << 10
 )
 
 // Client calls engines. It may be used by many goroutines.
 type Client struct {
-	http        *http.Client
-	callTimeout time.Duration
+	http              *http.Client
+	generations       *http.Client
+	clock             clockwork.Clock
+	callTimeout       time.Duration
+	firstFrameTimeout time.Duration
+	frameTimeout      time.Duration
 }
 
 // Option changes a Client under construction.
@@ -46,11 +55,28 @@
 	return func(c *Client) { c.callTimeout = d }
 }
 
+// WithClock replaces the real clock.
+func WithClock(clock clockwork.Clock) Option { return func(c *Client) { c.clock = clock } }
+
+// WithFrameTimeouts bounds the time until the first frame of a stream, which
+// includes the wait in the engine's queue, and the time between frames. The
+// defaults are 15 and 3 seconds.
+func WithFrameTimeouts(first, next time.Duration) Option {
+	return func(c *Client) {
+		c.firstFrameTimeout = first
+		c.frameTimeout = next
+	}
+}
+
 // NewClient returns a client of engines.
 func NewClient(opts ...Option) *Client {
 	dialer := &net.Dialer{Timeout: defaultDialTimeout}
 	c := &Client{
-		callTimeout: defaultCallTimeout,
+		clock:             clockwork.NewRealClock(),
+		generations:       &http.Client{Transport: transport.New()},
+		callTimeout:       defaultCallTimeout,
+		firstFrameTimeout: defaultFirstFrameTimeout,
+		frameTimeout:      defaultFrameTimeout,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: idleConnsPerTarget,
@@ -66,23 +92,31 @@
 
 // Generate starts a generation at the engine at addr. A failure of kind
 // NoReplica (the weights are not loaded there), Overloaded or BadRequest means that
-// the engine ran nothing; a connection
-// that could not be made gives TargetFailed wrapped in NotSentError; any other
-// loss gives OutcomeUnknown. The caller must Close the stream.
+// the engine ran nothing; an attempt of which no byte was sent gives
+// TargetFailed wrapping NotSentError; any other loss, an engine that does not
+// answer within the first frame's time included, gives OutcomeUnknown. The
+// caller must Close the stream.
 func (c *Client) Generate(ctx context.Context, addr netip.AddrPort, req *GenerateRequest) (*Stream, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
 		return nil, failure.Wrap(failure.BadRequest, err, "encode generation request")
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
 	r, err := c.request(ctx, http.MethodPost, addr, "/v1/generate", nil, body)
 	if err != nil {
+		cancel(nil)
 		return nil, err
 	}
-	answer, err := c.http.Do(r)
+	watch := newWatch(c.clock, c.firstFrameTimeout, cancel)
+	answer, err := c.generations.Do(r)
 	if err != nil {
+		watch.stop()
+		cancel(nil)
 		return nil, transportError(err)
 	}
 	if answer.StatusCode != http.StatusOK {
+		defer cancel(nil)
+		defer watch.stop()
 		defer func() { _ = answer.Body.Close() }()
 		return nil, refusal(answer)
 	}
@@ -90,6 +124,9 @@
 		attemptID: req.AttemptID,
 		body:      answer.Body,
 		r:         bufio.NewReaderSize(answer.Body, streamBufferBytes),
+		cancel:    cancel,
+		watch:     watch,
+		timeout:   c.frameTimeout,
 	}, nil
 }
 
@@ -165,19 +202,17 @@
 }
 
 // NotSentError marks an error after which no byte can have reached the target.
-type NotSentError struct{ cause error }
-
-// Error returns the text of the cause.
-func (e *NotSentError) Error() string { return "not sent: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.cause }
+type NotSentError = transport.NotSentError
 
 // transportError tells a connection that was never made from a lost answer.
 func transportError(err error) error {
 	var dial *net.OpError
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &dial) && dial.Op == "dial" {
-		return failure.Wrap(failure.TargetFailed, &NotSentError{err}, "engine not reached")
+	var notSent *NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		return failure.Wrap(failure.TargetFailed, err, "engine not reached")
+	case errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &dial) && dial.Op == "dial":
+		return failure.Wrap(failure.TargetFailed, transport.NewNotSentError(err), "engine not reached")
 	}
 	return failure.Wrap(failure.OutcomeUnknown, err, "engine answer lost")
 }
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -60,6 +60,9 @@
 	TargetFailed
 	// RequestIDReused is a request id presented with another body.
 	RequestIDReused
+	// AnswerNotKept is a repeated request whose first answer was too large to
+	// keep; it ran.
+	AnswerNotKept
 	// Conflict is an edit that overlaps a newer one.
 	Conflict
 	// InvalidObjects is a set of objects that fails its check.
@@ -118,6 +121,7 @@
 	OutcomeUnknown:     {http.StatusBadGateway, typeServer, "outcome_unknown", false, 0},
 	TargetFailed:       {http.StatusBadGateway, typeServer, "target_failed", false, 0},
 	RequestIDReused:    {http.StatusUnprocessableEntity, typeInvalid, "idempotency_key_reused", true, 0},
+	AnswerNotKept:      {http.StatusGone, typeInvalid, "answer_not_kept", false, 0},
 	Conflict:           {http.StatusConflict, typeInvalid, "edit_conflict", true, 0},
 	InvalidObjects:     {http.StatusUnprocessableEntity, typeInvalid, "invalid_objects", true, 0},
 	Unauthorized:       {http.StatusUnauthorized, typeAuth, "operator_unauthorized", true, 0},
--- /dev/null
+++ b/internal/gateway/claims.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"fireflypier.example/fireflypier/internal/claim"
+	"fireflypier.example/fireflypier/internal/member"
+)
+
+func (g *Gateway) newClaims(self member.Member) *claim.Claims {
+	cfg := &g.cfg.Requests
+	holder := claim.Holder{Name: self.Name, Incarnation: self.Incarnation}
+	return claim.New(g.platform, holder, g.clock, g.logger,
+		claim.WithDispatchWindow(cfg.DispatchWindow),
+		claim.WithRetention(cfg.ClaimRetention),
+		claim.WithWritesPerSecond(cfg.ClaimWritesPerSecond),
+		claim.WithMembers(g.succeeded, func() int { return len(g.gateways()) }))
+}
+
+// succeeded reports whether a holder's process has certainly ended, since its
+// successor has registered under the same name.
+func (g *Gateway) succeeded(h claim.Holder) bool {
+	for _, m := range g.membership.All() {
+		if m.Role == member.Gateway && m.Name == h.Name {
+			return m.Incarnation != h.Incarnation
+		}
+	}
+	return false
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,9 @@
 	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/adoption"
 	"fireflypier.example/fireflypier/internal/callerapi"
+	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/dispatch"
+	"fireflypier.example/fireflypier/internal/ejection"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/entry"
@@ -34,6 +36,7 @@
 	"fireflypier.example/fireflypier/internal/plainroute"
 	"fireflypier.example/fireflypier/internal/platform"
 	"fireflypier.example/fireflypier/internal/publication"
+	"fireflypier.example/fireflypier/internal/retry"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
 )
@@ -48,6 +51,7 @@
 	adoption   *adoption.Adoption
 	follower   *follower.Follower
 	membership *membership.Membership
+	claims     *claim.Claims
 	views      *engineview.Views
 	subscriber *feed.Subscriber
 	peers      *peer.Server
@@ -82,10 +86,12 @@
 	g.platform = platform.New(cfg.Platform)
 	g.adoption = adoption.New(g.clock, cfg.FreshnessBound)
 	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
+	self := g.self()
+	g.claims = g.newClaims(self)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
+	g.membership = membership.New(self, g.platform, g.clock, g.logger)
 	g.subscriber = feed.NewSubscriber(cfg.Name, g.dialer, g.controllers, g.deliver, g.clock, g.logger)
 	return g, nil
 }
@@ -97,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	handler := metrics.NewGateway(registry).Wrap(g.callerAPI().Handler(), g.clock)
+	handler := metrics.NewGateway(registry).Wrap(g.callerAPI(registry).Handler(), g.clock)
 	g.callers, err = listener.Listen(g.cfg.Listen, handler,
 		listener.WithHeaderLimits(g.cfg.MaxHeaderBytes, g.cfg.HeaderTimeout),
 		listener.WithMaxConnections(g.cfg.MaxConnections))
@@ -108,15 +114,22 @@
 	return err
 }
 
-func (g *Gateway) callerAPI() *callerapi.API {
+func (g *Gateway) callerAPI(registry *prometheus.Registry) *callerapi.API {
 	admit := admission.New(g.adoption)
 	limits := limiter.New(g.clock, 1)
 	g.adoption.OnChange(limits.SetCatalog)
+	budget := retry.NewBudget(g.clock)
+	ejected := ejection.New(g.clock)
+	cfg := &g.cfg.Requests
 	plain := plainroute.New(plainroute.Parts{
 		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits,
+		Claims: g.claims, Budget: budget, Ejection: ejected,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
-		WriteError: callerapi.WriteError,
+		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
+		MaxRecordedBytes: cfg.MaxRecordedBytes, WriteError: callerapi.WriteError,
 	})
+	engines := engine.NewClient(engine.WithClock(g.clock),
+		engine.WithFrameTimeouts(cfg.FirstFrameTimeout, cfg.FrameTimeout))
 	return callerapi.New(callerapi.Parts{
 		Clock:  g.clock,
 		Logger: g.logger,
@@ -125,10 +138,14 @@
 			BodyTimeout:      g.cfg.BodyTimeout,
 			RequestTimeout:   g.cfg.RequestTimeout,
 			DefaultMaxTokens: g.cfg.DefaultMaxTokens,
+			WriteTimeout:     cfg.WriteTimeout,
+			MaxRecordedBytes: cfg.MaxRecordedBytes,
 		},
+		Claims:    g.claims,
 		Admission: admit,
 		Limiter:   limits,
-		Dispatch:  dispatch.New(engine.NewClient(), schedule.New(g.views), g.logger),
+		Dispatch:  dispatch.New(engines, schedule.New(g.views), g.logger, dispatch.WithClock(g.clock),
+			dispatch.WithRetries(budget, ejected), dispatch.WithMetrics(registry)),
 		Plain:     plain,
 		Entry:     entry.New(g.gateways, g.cfg.DataCentre, g.cfg.EntryTTL),
 	})
@@ -181,6 +198,7 @@
 	wg.Go(func() { g.follower.Run(background) })
 	wg.Go(func() { g.membership.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
+	wg.Go(func() { g.claims.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
 	wg.Go(func() { g.logError("admin", g.admin.Run()) })
 	wg.Go(func() { g.logError("callers", g.callers.Run()) })
--- a/internal/plainroute/plainroute.go
+++ b/internal/plainroute/plainroute.go
@@ -1,43 +1,33 @@
-// Package plainroute carries requests to plain services, bodies streamed.
+// Package plainroute carries requests to plain services. Bodies are streamed,
+// except where a request must run at most once under an id.
 package plainroute
 
 import (
-	"io"
-	"net"
+	"context"
 	"net/http"
-	"net/url"
-	"slices"
-	"strings"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 
 	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/catalog"
+	"fireflypier.example/fireflypier/internal/claim"
+	"fireflypier.example/fireflypier/internal/ejection"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/limiter"
-	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/retry"
+	"fireflypier.example/fireflypier/internal/transport"
 )
 
+// Headers that callers set.
 const (
-	dialTimeout        = time.Second
-	idleConnsPerTarget = 64
-	idleConnTimeout    = 90 * time.Second
-	copyBufferBytes    = 32 << 10
+	headerRequestID     = "X-Request-Id"
+	headerNotRepeatable = "X-Not-Repeatable"
+	headerIdempotency   = "Idempotency-Key"
+	maxIdempotencyKey   = 255
 )
 
-// droppedHeaders are never sent to a target: they carry keys or belong to
-// one connection.
-var droppedHeaders = []string{
-	"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization", "Cookie",
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // Parts are what the routes stand on.
 type Parts struct {
 	// Clock and Logger serve all requests.
@@ -46,41 +36,60 @@
 	// Admission checks keys, Limiter charges.
 	Admission *admission.Admission
 	Limiter   *limiter.Limiter
+	// Claims make requests with an id run at most once.
+	Claims *claim.Claims
+	// Budget and Ejection decide about retries.
+	Budget   *retry.Budget
+	Ejection *ejection.Ejection
 	// MaxBodyBytes and Timeout bound requests whose route names no bounds.
 	MaxBodyBytes int64
 	Timeout      time.Duration
+	// BodyTimeout bounds the arrival of a body that is read whole.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds one write to a slow caller.
+	WriteTimeout time.Duration
+	// MaxRecordedBytes bounds the recorded body of an answer.
+	MaxRecordedBytes int
 	// WriteError answers a refusal.
 	WriteError func(w http.ResponseWriter, err error)
 }
 
 // Routes is the handler of all paths that the objects of kind route name.
 type Routes struct {
-	parts  Parts
-	client *http.Client
-	next   atomic.Uint64
+	parts   Parts
+	client  *http.Client
+	targets *targets
 }
 
 // New returns the handler.
 func New(p Parts) *Routes {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Routes{
-		parts: p,
+		parts:   p,
+		targets: newTargets(p.Ejection),
 		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				MaxIdleConnsPerHost: idleConnsPerTarget,
-				IdleConnTimeout:     idleConnTimeout,
-				DisableCompression:  true,
-			},
+			Transport:     transport.New(),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
 }
 
+// passage is one request on its way.
+type passage struct {
+	w          http.ResponseWriter
+	r          *http.Request
+	route      catalog.Route
+	ticket     admission.Ticket
+	body       *body
+	repeatable bool
+	// check tells, right before the first byte, whether the request may still
+	// be sent.
+	check func() error
+}
+
 // ServeHTTP carries r to a target of the route with the longest prefix.
 func (s *Routes) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if err := s.serve(w, r); err != nil {
-		s.parts.Logger.Info("request failed", "request_id", r.Header.Get("X-Request-Id"), "reason", err)
+		s.parts.Logger.Info("request failed", "request_id", r.Header.Get(headerRequestID), "reason", err)
 		s.parts.WriteError(w, err)
 	}
 }
@@ -94,118 +103,83 @@
 	if err != nil {
 		return err
 	}
-	if route.CostTokens > 0 && ticket.Customer != "" {
-		if _, err := s.parts.Limiter.Take(r.Context(), ticket.Customer, route.CostTokens); err != nil {
-			return err
-		}
-	}
-	target, err := s.choose(&route)
-	if err != nil {
+	p := &passage{w: w, r: r, route: route, ticket: ticket, check: ticket.Check}
+	if p.repeatable, err = repeatable(r, &route); err != nil {
 		return err
 	}
-	if err := ticket.Check(); err != nil {
-		return err
+	if len(r.Header.Get(headerIdempotency)) > maxIdempotencyKey {
+		return failure.New(failure.BadRequest, "%s is longer than %d characters", headerIdempotency, maxIdempotencyKey)
 	}
-	return s.forward(w, r, &route, &target)
-}
-
-func (s *Routes) admit(r *http.Request, route *catalog.Route) (admission.Ticket, error) {
-	if route.Open {
-		return s.parts.Admission.Open(), nil
+	if r.ContentLength > s.maxBodyBytes(&route) {
+		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", s.maxBodyBytes(&route))
 	}
-	return s.parts.Admission.Admit(r.Header.Get("Authorization"))
-}
-
-func (s *Routes) choose(route *catalog.Route) (object.Target, error) {
-	objects := &s.parts.Admission.Catalog().Snapshot().Objects
-	names := objects.PoolTargets(route.Pool)
-	if len(names) == 0 {
-		return object.Target{}, failure.New(failure.NoReplica, "pool %s has no targets", route.Pool)
+	charge, err := s.charge(p)
+	if err != nil {
+		return err
 	}
-	return objects.Targets[names[s.next.Add(1)%uint64(len(names))]], nil
+	used, err := s.run(p)
+	if charge != nil && !used {
+		charge.Settle(0)
+	}
+	return err
 }
 
-func (s *Routes) forward(w http.ResponseWriter, r *http.Request, route *catalog.Route, target *object.Target) error {
-	limit := route.MaxBodyBytes
-	if limit == 0 {
-		limit = s.parts.MaxBodyBytes
+// run carries the request; used tells whether it is to be paid for.
+func (s *Routes) run(p *passage) (used bool, err error) {
+	timeout := s.timeout(&p.route)
+	if !p.repeatable && p.r.Header.Get(headerIdempotency) != "" {
+		return s.runClaimed(p, timeout)
 	}
-	if r.ContentLength > limit {
-		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", limit)
+	ctx, cancel := context.WithTimeout(p.r.Context(), timeout)
+	defer cancel()
+	if err := s.prepareBody(p); err != nil {
+		return false, err
 	}
-	address := url.URL{Scheme: "http", Host: target.Address.String(), Path: r.URL.Path, RawQuery: r.URL.RawQuery}
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, address.String(), http.MaxBytesReader(w, r.Body, limit))
+	answer, err := s.send(ctx, p)
 	if err != nil {
-		return failure.Wrap(failure.BadRequest, err, "the request cannot be carried")
-	}
-	out.ContentLength = r.ContentLength
-	if r.ContentLength == 0 {
-		out.Body = http.NoBody
+		return !failure.From(err).Answer().NotRun, err
 	}
-	out.GetBody = nil
-	copyHeaders(out.Header, r.Header)
-	answer, err := s.client.Do(out)
-	if err != nil {
-		return transportError(err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	copyHeaders(w.Header(), answer.Header)
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	w.WriteHeader(answer.StatusCode)
-	copyBody(w, answer.Body)
-	return nil
+	defer answer.close()
+	s.deliver(p, answer)
+	return true, nil
 }
 
-// copyBody streams the answer; a broken answer breaks the caller's
-// connection, so that it is never taken for a whole one.
-func copyBody(w http.ResponseWriter, body io.Reader) {
-	flusher := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, werr := w.Write(buffer[:n]); werr != nil {
-				return
-			}
-			_ = flusher.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
+func (s *Routes) charge(p *passage) (*limiter.Charge, error) {
+	if p.route.CostTokens <= 0 || p.ticket.Customer == "" {
+		return nil, nil
 	}
+	return s.parts.Limiter.Take(p.r.Context(), p.ticket.Customer, p.route.CostTokens)
 }
 
-func copyHeaders(to, from http.Header) {
-	for name, values := range from {
-		if slices.Contains(droppedHeaders, name) || connectionHeader(from, name) {
-			continue
-		}
-		to[name] = slices.Clone(values)
+func (s *Routes) admit(r *http.Request, route *catalog.Route) (admission.Ticket, error) {
+	if route.Open {
+		return s.parts.Admission.Open(), nil
 	}
+	return s.parts.Admission.Admit(r.Header.Get("Authorization"))
 }
 
-// connectionHeader reports whether the Connection header names the header.
-func connectionHeader(h http.Header, name string) bool {
-	for _, value := range h["Connection"] {
-		for token := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(strings.TrimSpace(token), name) {
-				return true
-			}
-		}
+// repeatable tells whether the request may be sent again. A caller can only
+// forbid it.
+func repeatable(r *http.Request, route *catalog.Route) (bool, error) {
+	switch r.Header.Get(headerNotRepeatable) {
+	case "", "false":
+		return route.Repeatable, nil
+	case "true":
+		return false, nil
 	}
-	return false
+	return false, failure.New(failure.BadRequest, "%s must be true or false", headerNotRepeatable)
 }
 
-func transportError(err error) error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return failure.Wrap(failure.OutcomeUnknown, err, "the body is larger than %d bytes", large.Limit)
+func (s *Routes) maxBodyBytes(route *catalog.Route) int64 {
+	if route.MaxBodyBytes > 0 {
+		return route.MaxBodyBytes
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return failure.Wrap(failure.NoReplica, err, "the target cannot be reached")
+	return s.parts.MaxBodyBytes
+}
+
+func (s *Routes) timeout(route *catalog.Route) time.Duration {
+	if route.Timeout > 0 {
+		return route.Timeout
 	}
-	return failure.Wrap(failure.OutcomeUnknown, err, "the target's answer was lost")
+	return s.parts.Timeout
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -15,6 +15,12 @@
 // bytesPerToken is the estimate by which prompts are charged.
 const bytesPerToken = 4
 
+// Permit tells whether a request may still be dispatched.
+type Permit interface {
+	// Check returns the reason for which the request must not be sent.
+	Check() error
+}
+
 // Request is one admitted generation. It belongs to one goroutine.
 type Request struct {
 	// ID is given back to the caller as X-Request-Id.
@@ -32,6 +38,10 @@
 	Prefix prefix.Hashes
 	// MaxTokens bounds the answer.
 	MaxTokens int
+	// NotRepeatable forbids another attempt after one that may have run.
+	NotRepeatable bool
+	// Permit, when set, is asked right before each attempt.
+	Permit Permit
 	// Arrival and Deadline bound the request in time.
 	Arrival  time.Time
 	Deadline time.Time
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,8 @@
 	EntryTTL time.Duration `json:"entry_ttl,omitzero"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration `json:"drain_timeout,omitzero"`
+	// Requests bounds running requests.
+	Requests Requests `json:"requests,omitzero"`
 }
 
 // Controller holds the settings of a controller.
@@ -135,6 +137,7 @@
 
 func (s *Gateway) fill() {
 	s.Process.fill()
+	s.Requests.fill()
 	setDefault(&s.Address, s.Listen)
 	setDefault(&s.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
@@ -190,7 +193,7 @@
 	case s.HeaderTimeout < 0 || s.BodyTimeout < 0 || s.RequestTimeout < 0 || s.FreshnessBound < 0 || s.EntryTTL < 0 || s.DrainTimeout < 0:
 		return invalid(file, "", "durations must not be negative")
 	}
-	return nil
+	return s.Requests.check(file)
 }
 
 func (s *Controller) check(file string) error {
