--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 	cfg := &g.cfg.Requests
 	plain := plainroute.New(plainroute.Parts{
 		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits,
-		Claims: g.claims, Budget: budget, Ejection: ejected,
+		Claims: g.claims, Budget: budget, Ejection: ejected, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
 		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
 		MaxRecordedBytes: cfg.MaxRecordedBytes, WriteError: callerapi.WriteError,
--- a/internal/plainroute/body.go
+++ b/internal/plainroute/body.go
@@ -97,6 +97,10 @@
 
 // bodyError tells why a body could not be read. Nothing was sent yet.
 func bodyError(err error) error {
+	var refused *failure.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", large.Limit)
--- a/internal/plainroute/plainroute.go
+++ b/internal/plainroute/plainroute.go
@@ -28,6 +28,10 @@
 	maxIdempotencyKey   = 255
 )
 
+// headerCustomer tells a target for which customer a request runs; it is
+// empty on open routes.
+const headerCustomer = "X-Customer"
+
 // Parts are what the routes stand on.
 type Parts struct {
 	// Clock and Logger serve all requests.
@@ -41,6 +45,8 @@
 	// Budget and Ejection decide about retries.
 	Budget   *retry.Budget
 	Ejection *ejection.Ejection
+	// Leaving reports whether a target takes no new work.
+	Leaving func(target string) bool
 	// MaxBodyBytes and Timeout bound requests whose route names no bounds.
 	MaxBodyBytes int64
 	Timeout      time.Duration
@@ -65,7 +71,7 @@
 func New(p Parts) *Routes {
 	return &Routes{
 		parts:   p,
-		targets: newTargets(p.Ejection),
+		targets: newTargets(p.Ejection, p.Leaving),
 		client: &http.Client{
 			Transport:     transport.New(),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -113,6 +119,7 @@
 	if r.ContentLength > s.maxBodyBytes(&route) {
 		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", s.maxBodyBytes(&route))
 	}
+	r.Header.Set(headerCustomer, ticket.Customer)
 	charge, err := s.charge(p)
 	if err != nil {
 		return err
--- a/internal/plainroute/send.go
+++ b/internal/plainroute/send.go
@@ -151,7 +151,12 @@
 	var notSent *transport.NotSentError
 	sent := !errors.As(err, &notSent)
 	var large *http.MaxBytesError
+	var refused *failure.Error
 	switch {
+	case errors.As(err, &refused) && sent:
+		return failure.Wrap(failure.TargetFailed, err, "the body was refused after a part of it was sent")
+	case errors.As(err, &refused):
+		return refused
 	case errors.As(err, &large) && sent:
 		return failure.Wrap(failure.TargetFailed, err, "the body is larger than %d bytes and was sent in part", large.Limit)
 	case errors.As(err, &large):
--- a/internal/plainroute/targets.go
+++ b/internal/plainroute/targets.go
@@ -15,13 +15,14 @@
 // requests.
 type targets struct {
 	ejection *ejection.Ejection
+	leaving  func(target string) bool
 
 	mu          sync.Mutex
 	outstanding map[string]int
 }
 
-func newTargets(e *ejection.Ejection) *targets {
-	return &targets{ejection: e, outstanding: map[string]int{}}
+func newTargets(e *ejection.Ejection, leaving func(target string) bool) *targets {
+	return &targets{ejection: e, leaving: leaving, outstanding: map[string]int{}}
 }
 
 // choice is a chosen target. Release it when the request has ended.
@@ -32,12 +33,13 @@
 }
 
 // choose takes the less loaded of two targets that are neither tried nor
-// ejected. Where all are, one is tried nevertheless.
+// ejected. Where all are, one is tried nevertheless, but never one that is
+// leaving.
 func (t *targets) choose(c *catalog.Catalog, pool string, tried []string) (*choice, error) {
 	objects := &c.Snapshot().Objects
-	names := objects.PoolTargets(pool)
+	names := remove(objects.PoolTargets(pool), t.leaving)
 	if len(names) == 0 {
-		return nil, failure.New(failure.NoReplica, "pool %s has no targets", pool)
+		return nil, failure.New(failure.NoReplica, "pool %s has no target that takes work", pool)
 	}
 	fresh := remove(names, func(name string) bool { return slices.Contains(tried, name) })
 	if len(fresh) == 0 {
