--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,10 +144,10 @@
 		Claims:    g.claims,
 		Admission: admit,
 		Limiter:   limits,
-		Dispatch:  dispatch.New(engines, schedule.New(g.views), g.logger, dispatch.WithClock(g.clock),
+		Dispatch: dispatch.New(engines, schedule.New(g.views), g.logger, dispatch.WithClock(g.clock),
 			dispatch.WithRetries(budget, ejected), dispatch.WithMetrics(registry)),
-		Plain:     plain,
-		Entry:     entry.New(g.gateways, g.cfg.DataCentre, g.cfg.EntryTTL),
+		Plain: plain,
+		Entry: entry.New(g.gateways, g.cfg.DataCentre, g.cfg.EntryTTL),
 	})
 }
 
