--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -4,7 +4,6 @@
 package faultproxy
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -28,6 +27,13 @@
 	// CutAnswersAfter cuts a connection after that many bytes from the
 	// server; zero cuts none.
 	CutAnswersAfter int64
+	// CutTimes is the number of connections to cut; zero cuts all.
+	CutTimes int
+	// HoldAnswers holds back what the server sends until the fault is lifted.
+	HoldAnswers bool
+	// Only limits the faults to connections on which the client has sent this
+	// text, for instance a path.
+	Only string
 }
 
 // Proxy carries connections to one server. Its methods may be called at the
@@ -122,12 +128,13 @@
 	p.remember(client, server)
 	defer p.forget(client, server)
 	ended := make(chan struct{})
+	l := &link{proxy: p}
 	go func() {
 		defer close(ended)
-		p.copy(client, server, true)
+		l.copyAnswers(client, server)
 		_ = client.Close()
 	}()
-	p.copy(server, client, false)
+	l.copyRequests(server, client)
 	if c, ok := server.(*net.TCPConn); ok {
 		_ = c.CloseWrite()
 	}
@@ -156,39 +163,15 @@
 	return p.fault, p.changed
 }
 
-// copy carries data one way; answers tells the server's way.
-func (p *Proxy) copy(to io.Writer, from io.Reader, answers bool) {
-	buffer := make([]byte, copyBufferBytes)
-	var carried int64
-	for {
-		n, err := from.Read(buffer)
-		data := buffer[:n]
-		fault := p.wait()
-		if answers && fault.CutAnswersAfter > 0 && carried+int64(n) > fault.CutAnswersAfter {
-			_, _ = to.Write(data[:max(0, fault.CutAnswersAfter-carried)])
-			return
-		}
-		if answers && fault.DropAnswers {
-			data = nil
-		}
-		carried += int64(len(data))
-		if _, werr := to.Write(data); werr != nil || err != nil {
-			return
-		}
+// cut counts one cut connection; the last one ends the fault.
+func (p *Proxy) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault.CutTimes == 0 {
+		return
 	}
-}
-
-// wait holds data back while the proxy is frozen, and for its delay.
-func (p *Proxy) wait() Fault {
-	for {
-		fault, changed := p.current()
-		if fault.Freeze {
-			<-changed
-			continue
-		}
-		if fault.Delay > 0 {
-			time.Sleep(fault.Delay)
-		}
-		return fault
+	p.fault.CutTimes--
+	if p.fault.CutTimes == 0 {
+		p.fault.CutAnswersAfter = 0
 	}
 }
--- a/internal/standin/modelengine/config.go
+++ b/internal/standin/modelengine/config.go
@@ -41,6 +41,11 @@
 	// CutAfterTokens ends each stream without its last frame after that
 	// many tokens; zero cuts none.
 	CutAfterTokens int `json:"cut_after_tokens,omitzero"`
+	// RepeatFrames sends each frame twice, and then the first one again.
+	RepeatFrames bool `json:"repeat_frames,omitzero"`
+	// LoseStarts is the number of following generations that run without
+	// their caller seeing any of it.
+	LoseStarts int `json:"lose_starts,omitzero"`
 	// Refuse answers every generation as overloaded.
 	Refuse bool `json:"refuse,omitzero"`
 }
--- a/internal/standin/modelengine/generate.go
+++ b/internal/standin/modelengine/generate.go
@@ -93,6 +93,10 @@
 }
 
 func (e *Engine) run(ctx context.Context, req *engine.GenerateRequest, ran *Ran, emit func(engine.Frame) error) error {
+	if e.losesStart() {
+		ran.Tokens++
+		return failure.New(failure.Internal, "the start is lost")
+	}
 	cached := e.prefill(ctx, req)
 	length, reason := answerLength(req)
 	for i := req.Offset; i < length; i++ {
@@ -103,6 +107,11 @@
 		if fault.CutAfterTokens > 0 && i-req.Offset >= fault.CutAfterTokens {
 			return failure.New(failure.Internal, "the stream is cut")
 		}
+		if fault.RepeatFrames {
+			if err := e.repeat(req, i, emit); err != nil {
+				return err
+			}
+		}
 		if fault.CrossAnswers {
 			if err := emit(engine.Frame{AttemptID: "other-" + req.AttemptID, Offset: i, Text: " crossed"}); err != nil {
 				return err
@@ -123,6 +132,28 @@
 	})
 }
 
+// repeat sends frames that the caller has, or is about to have.
+func (e *Engine) repeat(req *engine.GenerateRequest, i int, emit func(engine.Frame) error) error {
+	for _, offset := range []int{i, req.Offset} {
+		f := engine.Frame{AttemptID: req.AttemptID, Offset: offset, Text: Token(req.Prompt, offset)}
+		if err := emit(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// losesStart reports whether a generation runs unseen, and counts it.
+func (e *Engine) losesStart() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fault.LoseStarts == 0 {
+		return false
+	}
+	e.fault.LoseStarts--
+	return true
+}
+
 func (e *Engine) count(ran *Ran) Fault {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,11 @@
 	// RefuseNext is the number of following requests answered 503 with the
 	// header Not-Run, without being run.
 	RefuseNext int `json:"refuse_next,omitzero"`
+	// CutAnswers is the number of following requests that run and whose
+	// answers break off.
+	CutAnswers int `json:"cut_answers,omitzero"`
+	// AnswerBytes is the size to which answers are filled up.
+	AnswerBytes int `json:"answer_bytes,omitzero"`
 	// Delay is the time that each request takes.
 	Delay time.Duration `json:"delay,omitzero"`
 }
@@ -100,7 +106,12 @@
 		Number int    `json:"number"`
 		Path   string `json:"path"`
 		Echo   string `json:"echo"`
-	}{number, r.URL.Path, string(body)})
+		Fill   string `json:"fill,omitzero"`
+	}{number, r.URL.Path, string(body), strings.Repeat("x", fault.AnswerBytes)})
+	if fault.CutAnswers > 0 {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *Service) refuses() bool {
@@ -122,6 +133,7 @@
 	})
 	fault = s.fault
 	s.fault.LoseAnswers = max(0, fault.LoseAnswers-1)
+	s.fault.CutAnswers = max(0, fault.CutAnswers-1)
 	return len(s.ran), fault
 }
 
--- a/tests/small_fleet_test.go
+++ b/tests/small_fleet_test.go
@@ -39,12 +39,33 @@
 	gateways    []*fleet.Node
 	controllers []*fleet.Node
 	operator    *operatorclient.Client
+
+	// change adjusts the settings of the gateway with the index given.
+	change func(i int, cfg *settings.Gateway)
+	// edit adjusts the objects before they are applied.
+	edit func(s *object.Set)
+}
+
+// fleetOption changes a small fleet before it starts.
+type fleetOption func(*smallFleet)
+
+// withGateways adjusts the settings of each gateway.
+func withGateways(change func(i int, cfg *settings.Gateway)) fleetOption {
+	return func(f *smallFleet) { f.change = change }
+}
+
+// withObjects adjusts the objects before they are applied.
+func withObjects(edit func(s *object.Set)) fleetOption {
+	return func(f *smallFleet) { f.edit = edit }
 }
 
 // startSmallFleet starts the processes and waits until chat-small answers at
 // every gateway.
-func startSmallFleet(ctx context.Context, gateways, controllers int) *smallFleet {
+func startSmallFleet(ctx context.Context, gateways, controllers int, opts ...fleetOption) *smallFleet {
 	f := &smallFleet{Fleet: newFleet()}
+	for _, opt := range opts {
+		opt(f)
+	}
 	var err error
 	f.platform, err = f.StartPlatform(ctx, struct {
 		Weights cloud.WeightConfig `json:"weights"`
@@ -84,6 +105,9 @@
 	for i := range gateways {
 		g, err := f.StartGateway(ctx, fmt.Sprintf("gateway-%d", i), func(cfg *settings.Gateway) {
 			cfg.EntryTTL = time.Second
+			if f.change != nil {
+				f.change(i, cfg)
+			}
 		})
 		Expect(err).NotTo(HaveOccurred())
 		f.gateways = append(f.gateways, g)
@@ -129,6 +153,9 @@
 			MemoryBytes: 40 * gib, Concurrency: 16, ChecksFencing: i == 0,
 		}
 	}
+	if f.edit != nil {
+		f.edit(&s)
+	}
 	return s
 }
 
