--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-json-experiment/json"
 
+	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/recording"
 	"fireflypier.example/fireflypier/internal/table"
@@ -48,7 +49,7 @@
 }
 
 func (c *content) encode() ([]byte, error) {
-	data, err := json.Marshal(c)
+	data, err := json.Marshal(c, document.Durations())
 	if err != nil {
 		return nil, failure.Wrap(failure.Internal, err, "encode claim")
 	}
@@ -57,7 +58,7 @@
 
 func decode(row table.Row) (*content, error) {
 	var c content
-	if err := json.Unmarshal(row.Value, &c); err != nil {
+	if err := json.Unmarshal(row.Value, &c, document.Durations()); err != nil {
 		return nil, failure.Wrap(failure.OutcomeUnknown, err, "decode claim row %s", row.Key)
 	}
 	return &c, nil
--- /dev/null
+++ b/internal/claim/suite_test.go
@@ -0,0 +1,21 @@
+package claim
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func init() {
+	// Fixed, so that every run tries the same schedules.
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "150")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+func TestClaim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claim")
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -65,7 +65,7 @@
 	}
 	err = json.Unmarshal(plain, v,
 		json.RejectUnknownMembers(true),
-		json.WithUnmarshalers(json.UnmarshalFromFunc(unmarshalDuration)))
+		Durations())
 	if err == nil {
 		return nil
 	}
@@ -81,10 +81,12 @@
 	return data, errors.Wrap(err, "encode document")
 }
 
-// Durations returns the option under which durations are written as strings
-// such as "1.5s".
+// Durations returns the options under which durations are written and read as
+// strings such as "1.5s".
 func Durations() json.Options {
-	return json.WithMarshalers(json.MarshalToFunc(marshalDuration))
+	return json.JoinOptions(
+		json.WithMarshalers(json.MarshalToFunc(marshalDuration)),
+		json.WithUnmarshalers(json.UnmarshalFromFunc(unmarshalDuration)))
 }
 
 func locate(name string, data []byte, err error) error {
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -47,6 +47,7 @@
 	fault   Fault
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	held    int
 }
 
 // Start returns a running proxy for server on a free loopback port.
@@ -163,6 +164,20 @@
 	return p.fault, p.changed
 }
 
+// Held returns the number of pieces of data that are held back and contain
+// the fault's Only.
+func (p *Proxy) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
+func (p *Proxy) hold(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held += n
+}
+
 // cut counts one cut connection; the last one ends the fault.
 func (p *Proxy) cut() {
 	p.mu.Lock()
--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -24,7 +24,7 @@
 	for {
 		n, err := from.Read(buffer)
 		l.remember(buffer[:n])
-		l.wait(false)
+		l.wait(buffer[:n], false)
 		if _, werr := to.Write(buffer[:n]); werr != nil || err != nil {
 			return
 		}
@@ -38,7 +38,7 @@
 	for {
 		n, err := from.Read(buffer)
 		data := buffer[:n]
-		fault := l.wait(true)
+		fault := l.wait(data, true)
 		if fault.CutAnswersAfter > 0 && carried+int64(n) > fault.CutAnswersAfter {
 			_, _ = to.Write(data[:max(0, fault.CutAnswersAfter-carried)])
 			l.proxy.cut()
@@ -74,10 +74,16 @@
 }
 
 // wait holds data back while the fault says so, and for its delay.
-func (l *link) wait(answers bool) Fault {
+func (l *link) wait(data []byte, answers bool) Fault {
+	counted := false
 	for {
 		fault, changed := l.fault()
 		if fault.Freeze || answers && fault.HoldAnswers {
+			if !counted && bytes.Contains(data, []byte(fault.Only)) {
+				counted = true
+				l.proxy.hold(1)
+				defer l.proxy.hold(-1)
+			}
 			<-changed
 			continue
 		}
--- /dev/null
+++ b/tests/at_most_once_test.go
@@ -0,0 +1,379 @@
+package tests
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/standin/cloud"
+	"fireflypier.example/fireflypier/internal/standin/plainservice"
+	"fireflypier.example/fireflypier/internal/standin/tablestore"
+)
+
+// claimFleet has two gateways, each with a proxy of its own to the platform.
+type claimFleet struct {
+	*smallFleet
+	platforms []*faultproxy.Proxy
+	// desks stands between the gateways and the plain service.
+	desks *faultproxy.Proxy
+}
+
+const (
+	claimRouteTimeout = 2 * time.Second
+	claimWindow       = time.Second
+)
+
+func startClaimFleet(ctx context.Context) *claimFleet {
+	f := &claimFleet{}
+	f.smallFleet = startSmallFleet(ctx, 2, 1, withGateways(f.useProxy), withObjects(f.useDesk))
+	return f
+}
+
+// useProxy gives a gateway its own way to the platform.
+func (f *claimFleet) useProxy(_ int, cfg *settings.Gateway) {
+	p := startProxy(cfg.Platform)
+	f.platforms = append(f.platforms, p)
+	cfg.Platform = p.Addr()
+	cfg.FreshnessBound = time.Minute
+	cfg.Requests.DispatchWindow = claimWindow
+	cfg.Requests.MaxRecordedBytes = 16 << 10
+}
+
+func (f *claimFleet) useDesk(s *object.Set) {
+	desk := s.Targets["desk-0"]
+	f.desks = startProxy(desk.Address)
+	desk.Address = f.desks.Addr()
+	s.Targets["desk-0"] = desk
+	route := s.Routes["print"]
+	route.Timeout = claimRouteTimeout
+	s.Routes["print"] = route
+	s.Routes["slow"] = object.Route{PathPrefix: "/slow", Pool: "desk", CostTokens: 1, Timeout: conditionTimeout}
+}
+
+func order(ctx context.Context, g netip.AddrPort, id, path, body string) answer {
+	return send(ctx, http.MethodPost, g, path, circleKey, body, http.Header{"Idempotency-Key": {id}})
+}
+
+// orderLater sends an order and gives its answer when it comes.
+func orderLater(ctx context.Context, g netip.AddrPort, id, path string) <-chan answer {
+	answered := make(chan answer, 1)
+	go func() {
+		defer GinkgoRecover()
+		answered <- order(ctx, g, id, path, "bands")
+	}()
+	return answered
+}
+
+// claims is the text by which a proxy to the platform knows claim rows.
+const claims = "claim/"
+
+// hasRun reports an error until the plain service ran a path.
+func (f *claimFleet) hasRun(ctx context.Context, path string) func() error {
+	return func() error {
+		if len(f.serviceRan(ctx, path)) == 0 {
+			return fmt.Errorf("%s has not run", path)
+		}
+		return nil
+	}
+}
+
+// waitForClaim waits until the store holds a claim.
+func (f *claimFleet) waitForClaim(ctx context.Context) {
+	Expect(fleet.Eventually(ctx, func() error {
+		a := send(ctx, http.MethodGet, f.platform.Addr, "/table/scan?prefix="+claims, "", "", nil)
+		if !strings.Contains(a.body, claims) {
+			return errors.New("there is no claim")
+		}
+		return nil
+	})).To(Succeed())
+}
+
+// waitForHeld waits until a proxy holds data back.
+func waitForHeld(ctx context.Context, p *faultproxy.Proxy) {
+	Expect(fleet.Eventually(ctx, func() error {
+		if p.Held() == 0 {
+			return errors.New("nothing is held back")
+		}
+		return nil
+	})).To(Succeed())
+}
+
+var _ = Describe("at most once", func() {
+	It("gives repeats the first answer, whoever is asked", func() {
+		ctx := testContext()
+		f := startClaimFleet(ctx)
+
+		By("repeating at another gateway after the answer")
+		first := order(ctx, f.gateways[0].Addr, "id-1", "/print/one", "bands")
+		Expect(first.status).To(Equal(http.StatusOK), first.body)
+		for _, g := range f.gateways {
+			again := order(ctx, g.Addr, "id-1", "/print/one", "bands")
+			Expect(again.status).To(Equal(http.StatusOK), again.body)
+			Expect(again.body).To(Equal(first.body))
+			Expect(again.header.Get("Content-Type")).To(Equal(first.header.Get("Content-Type")))
+		}
+		Expect(f.serviceRan(ctx, "/print/one")).To(HaveLen(1))
+
+		By("repeating at both gateways while the first runs")
+		setFault(ctx, f.desk, plainservice.Fault{Delay: 500 * time.Millisecond})
+		var mu sync.Mutex
+		bodies := map[string]int{}
+		var wg conc.WaitGroup
+		for i := range 20 {
+			wg.Go(func() {
+				a := order(ctx, f.gateways[i%2].Addr, "id-2", "/print/two", "bands")
+				mu.Lock()
+				defer mu.Unlock()
+				bodies[fmt.Sprint(a.status, a.body)]++
+			})
+		}
+		wg.Wait()
+		Expect(bodies).To(HaveLen(1))
+		Expect(f.serviceRan(ctx, "/print/two")).To(HaveLen(1))
+		setFault(ctx, f.desk, plainservice.Fault{})
+
+		By("refusing the id with another body, path or method")
+		for _, a := range []answer{
+			order(ctx, f.gateways[1].Addr, "id-1", "/print/one", "other bands"),
+			order(ctx, f.gateways[1].Addr, "id-1", "/print/other", "bands"),
+		} {
+			Expect(refused(a)).To(Equal(refusal{Code: "idempotency_key_reused", NotRun: true}))
+		}
+		Expect(f.serviceRan(ctx, "/print/one")).To(HaveLen(1))
+		Expect(f.serviceRan(ctx, "/print/other")).To(BeEmpty())
+
+		By("running the same id of another customer")
+		a := send(ctx, http.MethodPost, f.gateways[1].Addr, "/print/one", dealerKey, "bands", http.Header{"Idempotency-Key": {"id-1"}})
+		Expect(a.status).To(Equal(http.StatusOK), a.body)
+		Expect(f.serviceRan(ctx, "/print/one")).To(HaveLen(2))
+
+		By("saying so when the answer was too large to keep")
+		setFault(ctx, f.desk, plainservice.Fault{AnswerBytes: 64 << 10})
+		large := order(ctx, f.gateways[0].Addr, "id-3", "/print/three", "bands")
+		Expect(large.status).To(Equal(http.StatusOK))
+		Expect(len(large.body)).To(BeNumerically(">", 64<<10))
+		for _, g := range f.gateways {
+			Expect(refused(order(ctx, g.Addr, "id-3", "/print/three", "bands"))).To(Equal(refusal{Code: "answer_not_kept"}))
+		}
+		Expect(f.serviceRan(ctx, "/print/three")).To(HaveLen(1))
+	})
+
+	It("runs nothing twice when the target's answer is lost", func() {
+		ctx := testContext()
+		f := startClaimFleet(ctx)
+		for i, fault := range []plainservice.Fault{{LoseAnswers: 1}, {CutAnswers: 1}} {
+			id, path := fmt.Sprint("lost-", i), fmt.Sprint("/print/lost-", i)
+			setFault(ctx, f.desk, fault)
+			for _, g := range []int{0, 1, 0} {
+				Expect(refused(order(ctx, f.gateways[g].Addr, id, path, "bands"))).To(Equal(refusal{Code: "outcome_unknown"}))
+			}
+			Expect(f.serviceRan(ctx, path)).To(HaveLen(1))
+		}
+
+		By("without an id: one try")
+		setFault(ctx, f.desk, plainservice.Fault{LoseAnswers: 1})
+		a := send(ctx, http.MethodPost, f.gateways[0].Addr, "/print/no-id", circleKey, "bands", nil)
+		Expect(refused(a)).To(Equal(refusal{Code: "outcome_unknown"}))
+		Expect(f.serviceRan(ctx, "/print/no-id")).To(HaveLen(1))
+
+		By("on a repeatable route that the caller marks")
+		setFault(ctx, f.desk, plainservice.Fault{LoseAnswers: 1})
+		a = send(ctx, http.MethodGet, f.gateways[0].Addr, "/status/marked", "", "", http.Header{"X-Not-Repeatable": {"true"}, "Idempotency-Key": {"id"}})
+		Expect(refused(a)).To(Equal(refusal{Code: "outcome_unknown"}))
+		a = send(ctx, http.MethodGet, f.gateways[1].Addr, "/status/marked", "", "", http.Header{"X-Not-Repeatable": {"true"}, "Idempotency-Key": {"id"}})
+		Expect(refused(a)).To(Equal(refusal{Code: "outcome_unknown"}))
+		Expect(f.serviceRan(ctx, "/status/marked")).To(HaveLen(1))
+	})
+
+	It("settles lost answers of the claim, once and twice", func() {
+		ctx := testContext()
+		f := startClaimFleet(ctx)
+		for lost := 1; lost <= 3; lost++ {
+			id, path := fmt.Sprint("claim-", lost), fmt.Sprint("/print/claim-", lost)
+			setFault(ctx, f.platform, cloud.Fault{Fault: tablestore.Fault{LoseAnswers: lost}})
+			first := order(ctx, f.gateways[0].Addr, id, path, "bands")
+			second := order(ctx, f.gateways[1].Addr, id, path, "bands")
+			ran := len(f.serviceRan(ctx, path))
+			Expect(ran).To(BeNumerically("<=", 1))
+			for _, a := range []answer{first, second} {
+				if a.status == http.StatusOK {
+					Expect(ran).To(Equal(1))
+					continue
+				}
+				Expect(refused(a).NotRun && ran == 1 && second.status != http.StatusOK).To(BeFalse(), a.body)
+			}
+		}
+
+		By("together with a lost answer of the target")
+		setFault(ctx, f.platform, cloud.Fault{Fault: tablestore.Fault{LoseAnswers: 1}})
+		setFault(ctx, f.desk, plainservice.Fault{LoseAnswers: 1})
+		for _, g := range []int{0, 1, 0} {
+			Expect(refused(order(ctx, f.gateways[g].Addr, "both", "/print/both", "bands"))).To(Equal(refusal{Code: "outcome_unknown"}))
+		}
+		Expect(f.serviceRan(ctx, "/print/both")).To(HaveLen(1))
+	})
+
+	It("refuses as not run while the store is out", func() {
+		ctx := testContext()
+		f := startClaimFleet(ctx)
+		out := cloud.Fault{Fault: tablestore.Fault{Outage: true}}
+		for range 2 {
+			setFault(ctx, f.platform, out)
+			for _, g := range f.gateways {
+				a := order(ctx, g.Addr, "out", "/print/out", "bands")
+				Expect(refused(a)).To(Equal(refusal{Code: "store_unavailable", NotRun: true}))
+			}
+			Expect(f.serviceRan(ctx, "/print/out")).To(BeEmpty())
+			setFault(ctx, f.platform, cloud.Fault{})
+		}
+		Expect(order(ctx, f.gateways[0].Addr, "out", "/print/out", "bands").status).To(Equal(http.StatusOK))
+
+		By("recording the answer after an outage that began while it ran")
+		setFault(ctx, f.desk, plainservice.Fault{Delay: 500 * time.Millisecond})
+		answered := orderLater(ctx, f.gateways[0].Addr, "during", "/print/during")
+		Expect(fleet.Eventually(ctx, f.hasRun(ctx, "/print/during"))).To(Succeed())
+		setFault(ctx, f.platform, out)
+		a := <-answered
+		Expect(a.status).To(Equal(http.StatusOK), a.body)
+		setFault(ctx, f.platform, cloud.Fault{})
+		again := order(ctx, f.gateways[1].Addr, "during", "/print/during", "bands")
+		Expect(again.body).To(Equal(a.body))
+		Expect(f.serviceRan(ctx, "/print/during")).To(HaveLen(1))
+	})
+
+	It("does not dispatch a claim whose gateway was frozen too long", func() {
+		ctx := testContext()
+		f := startClaimFleet(ctx)
+		f.platforms[0].SetFault(faultproxy.Fault{HoldAnswers: true, Only: claims})
+		answered := orderLater(ctx, f.gateways[0].Addr, "frozen", "/slow/frozen")
+		f.waitForClaim(ctx)
+		Expect(f.gateways[0].Freeze()).To(Succeed())
+		repeated := orderLater(ctx, f.gateways[1].Addr, "frozen", "/slow/frozen")
+		time.Sleep(claimWindow + claimWindow/2)
+		f.platforms[0].SetFault(faultproxy.Fault{})
+		Expect(f.gateways[0].Thaw()).To(Succeed())
+		Expect(refused(<-answered)).To(Equal(refusal{Code: "deadline_exceeded", NotRun: true}))
+
+		By("running a repeat, once the claim is released")
+		Expect((<-repeated).status).To(Equal(http.StatusOK))
+		Expect(f.serviceRan(ctx, "/slow/frozen")).To(HaveLen(1))
+	})
+
+	It("runs nothing for a claim that reaches the store after its gateway died", func() {
+		ctx := testContext()
+		f := startClaimFleet(ctx)
+		f.platforms[0].SetFault(faultproxy.Fault{Freeze: true, Only: claims})
+		answered := orderLater(ctx, f.gateways[0].Addr, "late", "/print/late")
+		waitForHeld(ctx, f.platforms[0])
+		f.gateways[0].Kill()
+		<-answered
+		f.platforms[0].SetFault(faultproxy.Fault{})
+		f.waitForClaim(ctx)
+		for range 2 {
+			a := order(ctx, f.gateways[1].Addr, "late", "/print/late", "bands")
+			Expect(refused(a)).To(Equal(refusal{Code: "outcome_unknown"}))
+		}
+		Expect(f.serviceRan(ctx, "/print/late")).To(BeEmpty())
+	})
+
+	DescribeTable("survives the kill of a gateway between claim and answer",
+		func(step killStep, ran int, again string) {
+			ctx := testContext()
+			f := startClaimFleet(ctx)
+			var answered <-chan answer
+			step(ctx, f, func() {
+				answered = orderLater(ctx, f.gateways[0].Addr, "killed", "/print/killed")
+			})
+			f.gateways[0].Kill()
+			for _, p := range []*faultproxy.Proxy{f.platforms[0], f.desks} {
+				p.CutAll()
+				p.SetFault(faultproxy.Fault{})
+			}
+			<-answered
+			setFault(ctx, f.desk, plainservice.Fault{})
+
+			for range 2 {
+				a := order(ctx, f.gateways[1].Addr, "killed", "/print/killed", "bands")
+				if again == "" {
+					Expect(a.status).To(Equal(http.StatusOK), a.body)
+				} else {
+					Expect(refused(a)).To(Equal(refusal{Code: again}))
+				}
+			}
+			Expect(f.serviceRan(ctx, "/print/killed")).To(HaveLen(ran))
+		},
+		Entry("before the claim reaches the store", killStep(beforeClaim), 1, ""),
+		Entry("after the claim, before the first byte", killStep(afterClaim), 0, "outcome_unknown"),
+		Entry("while the request is on its way to the target", killStep(onTheWay), 0, "outcome_unknown"),
+		Entry("while the target runs", killStep(whileRunning), 1, "outcome_unknown"),
+		Entry("while the answer is on its way", killStep(answerOnTheWay), 1, "outcome_unknown"),
+		Entry("after the answer, before it is recorded", killStep(beforeRecord), 1, "outcome_unknown"),
+		Entry("after the answer is recorded", killStep(afterRecord), 1, ""),
+	)
+})
+
+// killStep sends a request and returns when it has come to a step.
+type killStep func(ctx context.Context, f *claimFleet, send func())
+
+// beforeClaim holds the claim back before the store.
+func beforeClaim(ctx context.Context, f *claimFleet, send func()) {
+	f.platforms[0].SetFault(faultproxy.Fault{Freeze: true, Only: claims})
+	send()
+	waitForHeld(ctx, f.platforms[0])
+}
+
+// afterClaim holds back the store's answer to the claim.
+func afterClaim(ctx context.Context, f *claimFleet, send func()) {
+	f.platforms[0].SetFault(faultproxy.Fault{HoldAnswers: true, Only: claims})
+	send()
+	f.waitForClaim(ctx)
+}
+
+// onTheWay holds the request back before the target.
+func onTheWay(ctx context.Context, f *claimFleet, send func()) {
+	f.desks.SetFault(faultproxy.Fault{Freeze: true, Only: "/print/killed"})
+	send()
+	waitForHeld(ctx, f.desks)
+}
+
+// whileRunning makes the target slow.
+func whileRunning(ctx context.Context, f *claimFleet, send func()) {
+	setFault(ctx, f.desk, plainservice.Fault{Delay: claimRouteTimeout})
+	send()
+	Expect(fleet.Eventually(ctx, f.hasRun(ctx, "/print/killed"))).To(Succeed())
+}
+
+// answerOnTheWay holds back the target's answer.
+func answerOnTheWay(ctx context.Context, f *claimFleet, send func()) {
+	f.desks.SetFault(faultproxy.Fault{HoldAnswers: true})
+	send()
+	waitForHeld(ctx, f.desks)
+}
+
+// beforeRecord holds the record back before the store.
+func beforeRecord(ctx context.Context, f *claimFleet, send func()) {
+	setFault(ctx, f.desk, plainservice.Fault{Delay: claimWindow / 2})
+	send()
+	Expect(fleet.Eventually(ctx, f.hasRun(ctx, "/print/killed"))).To(Succeed())
+	f.platforms[0].SetFault(faultproxy.Fault{Freeze: true, Only: claims})
+	waitForHeld(ctx, f.platforms[0])
+}
+
+// afterRecord waits until the answer is recorded.
+func afterRecord(ctx context.Context, f *claimFleet, send func()) {
+	send()
+	Expect(order(ctx, f.gateways[1].Addr, "killed", "/print/killed", "bands").status).To(Equal(http.StatusOK))
+}
--- /dev/null
+++ b/tests/whole_answer_test.go
@@ -0,0 +1,201 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/standin/modelengine"
+)
+
+// streamFleet has a fault proxy before each engine.
+type streamFleet struct {
+	*smallFleet
+	proxies []*faultproxy.Proxy
+}
+
+// generatePath is the path by which a proxy knows generations.
+const generatePath = "/v1/generate"
+
+func startStreamFleet(ctx context.Context) *streamFleet {
+	f := &streamFleet{}
+	f.smallFleet = startSmallFleet(ctx, 1, 1, withGateways(quickFrames), withObjects(f.useProxies))
+	return f
+}
+
+func quickFrames(_ int, cfg *settings.Gateway) {
+	cfg.Requests.FrameTimeout = 500 * time.Millisecond
+	cfg.Requests.FirstFrameTimeout = 2 * time.Second
+}
+
+func (f *streamFleet) useProxies(s *object.Set) {
+	for _, e := range f.engines {
+		target := s.Targets[e.Name]
+		p := startProxy(target.Address)
+		f.proxies = append(f.proxies, p)
+		target.Address = p.Addr()
+		s.Targets[e.Name] = target
+	}
+}
+
+func (f *streamFleet) faultProxies(fault faultproxy.Fault) {
+	for _, p := range f.proxies {
+		p.SetFault(fault)
+	}
+}
+
+// expectWhole sends a chat, streaming and not, and expects its whole answer.
+func (f *streamFleet) expectWhole(ctx context.Context, name string, n int) {
+	GinkgoHelper()
+	messages, want := prompt(name, n)
+	a := chat(ctx, f.gateways[0].Addr, circleKey, chatBody(messages, false))
+	Expect(content(a)).To(Equal(want))
+	s := readStream(chat(ctx, f.gateways[0].Addr, circleKey, chatBody(messages, true)).body)
+	Expect(s).To(Equal(streamed{text: want, done: true}))
+}
+
+// openStream begins a streaming chat and reads its first token.
+func (f *streamFleet) openStream(ctx context.Context, messages string) *http.Response {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+f.gateways[0].Addr.String()+"/v1/chat/completions", strings.NewReader(chatBody(messages, true)))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+circleKey)
+	response, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	return response
+}
+
+// runsAt returns the index of the engine that runs a generation.
+func (f *streamFleet) runsAt(ctx context.Context) int {
+	for i, e := range f.engines {
+		ran := fetch[struct {
+			Ran []modelengine.Ran `json:"ran"`
+		}](ctx, e.Addr, "/standin/ran").Ran
+		if len(ran) > 0 && !ran[len(ran)-1].Finished {
+			return i
+		}
+	}
+	Fail("no engine runs a generation")
+	return 0
+}
+
+var _ = Describe("whole answers", func() {
+	It("drops late and crossed frames and counts them", func() {
+		ctx := testContext()
+		f := startStreamFleet(ctx)
+		f.faultEngines(ctx, modelengine.Fault{CrossAnswers: true, RepeatFrames: true})
+		f.expectWhole(ctx, "crossed", 50)
+		Expect(metric(ctx, f.gateways[0], "fireflypier_frames_dropped_total", "other_attempt")).To(BeNumerically(">=", 100))
+		Expect(metric(ctx, f.gateways[0], "fireflypier_frames_dropped_total", "already_delivered")).To(BeNumerically(">=", 100))
+	})
+
+	It("resumes a stream cut at any byte", func() {
+		ctx := testContext()
+		f := startStreamFleet(ctx)
+		messages, want := prompt("cut", 12)
+		body := chatBody(messages, true)
+		for offset := int64(1); offset < 1500; offset += 29 {
+			cut := faultproxy.Fault{CutAnswersAfter: offset, CutTimes: 1, Only: generatePath}
+			f.faultProxies(cut)
+			a := chat(ctx, f.gateways[0].Addr, circleKey, body)
+			Expect(readStream(a.body)).To(Equal(streamed{text: want, done: true}), "cut after %d bytes", offset)
+		}
+		Expect(metric(ctx, f.gateways[0], "fireflypier_streams_resumed_total", "")).To(BeNumerically(">", 0))
+		f.faultProxies(faultproxy.Fault{})
+
+		By("cutting every stream after a few tokens, again and again")
+		f.faultEngines(ctx, modelengine.Fault{CutAfterTokens: 7})
+		f.expectWhole(ctx, "cut often", 60)
+	})
+
+	It("goes on elsewhere when the engine is killed", func() {
+		ctx := testContext()
+		f := startStreamFleet(ctx)
+		messages, want := prompt("killed", 600)
+		response := f.openStream(ctx, messages)
+		defer func() { _ = response.Body.Close() }()
+		f.engines[f.runsAt(ctx)].Kill()
+		data, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(readStream(string(data))).To(Equal(streamed{text: want, done: true}))
+	})
+
+	It("goes on elsewhere when the connection is frozen, and cancels the old attempt", func() {
+		ctx := testContext()
+		f := startStreamFleet(ctx)
+		messages, want := prompt("frozen", 3000)
+		response := f.openStream(ctx, messages)
+		defer func() { _ = response.Body.Close() }()
+		at := f.runsAt(ctx)
+		f.proxies[at].SetFault(faultproxy.Fault{Freeze: true, Only: generatePath})
+		data, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(readStream(string(data))).To(Equal(streamed{text: want, done: true}))
+		Expect(metric(ctx, f.gateways[0], "fireflypier_streams_stalled_total", "")).To(Equal(1.0))
+		ran := fetch[struct {
+			Ran []modelengine.Ran `json:"ran"`
+		}](ctx, f.engines[at].Addr, "/standin/ran").Ran
+		Expect(ran[len(ran)-1].Finished).To(BeFalse())
+		Expect(ran[len(ran)-1].Tokens).To(BeNumerically("<", 3000))
+	})
+
+	It("ends a stream that cannot go on with an error, never silently", func() {
+		ctx := testContext()
+		f := startStreamFleet(ctx)
+		messages, want := prompt("ended", 4000)
+		response := f.openStream(ctx, messages)
+		defer func() { _ = response.Body.Close() }()
+		for _, e := range f.engines {
+			e.Kill()
+		}
+		data, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		s := readStream(string(data))
+		Expect(s.done).To(BeFalse())
+		Expect(s.err).To(Equal("target_failed"))
+		Expect(s.notRun).To(BeFalse())
+		Expect(want).To(HavePrefix(s.text))
+
+		By("without a stream: with an error and no answer")
+		a := chat(ctx, f.gateways[0].Addr, circleKey, chatBody(messages, false))
+		Expect(refused(a)).To(Equal(refusal{Code: "no_replica", NotRun: true}))
+	})
+
+	It("ends the engine's work when the caller leaves or does not read", func() {
+		ctx := testContext()
+		f := startStreamFleet(ctx)
+		messages, _ := prompt("left", 4900)
+		response := f.openStream(ctx, messages)
+		Expect(response.Body.Close()).To(Succeed())
+		f.waitUntilIdle(ctx)
+		ran := f.generated(ctx)
+		Expect(ran[len(ran)-1].Finished).To(BeFalse())
+	})
+})
+
+// waitUntilIdle waits until no engine runs a generation.
+func (f *streamFleet) waitUntilIdle(ctx context.Context) {
+	GinkgoHelper()
+	Expect(fleet.Eventually(ctx, func() error {
+		for _, e := range f.engines {
+			report := fetch[struct {
+				Running int `json:"running"`
+			}](ctx, e.Addr, "/v1/report?after=0")
+			if report.Running > 0 {
+				return fmt.Errorf("%s runs %d", e.Name, report.Running)
+			}
+		}
+		return nil
+	})).To(Succeed())
+}
