--- a/tests/faults_test.go
+++ b/tests/faults_test.go
@@ -82,6 +82,14 @@
 	return p
 }
 
+// startProxyThatClosed returns an address at which nothing listens any more.
+func startProxyThatClosed(server netip.AddrPort) netip.AddrPort {
+	p, err := faultproxy.Start(server)
+	Expect(err).NotTo(HaveOccurred())
+	p.Close()
+	return p.Addr()
+}
+
 // metric returns the sum of a gateway's counter over the labels that contain
 // the text.
 func metric(ctx context.Context, g *fleet.Node, name, label string) float64 {
@@ -117,9 +125,9 @@
 
 // streamed is a streaming answer as its caller reads it.
 type streamed struct {
-	text  string
-	done  bool
-	err   string
+	text   string
+	done   bool
+	err    string
 	notRun bool
 }
 
