--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -49,12 +49,8 @@
 	MaxRecordedBytes int
 	// DefaultMaxTokens bounds answers whose request names no bound.
 	DefaultMaxTokens int
-}
-
-// Entry answers which addresses a caller should use.
-type Entry interface {
-	// ServeEntry answers GET /v1/entry.
-	ServeEntry(w http.ResponseWriter, r *http.Request)
+	// EntryTTL is how long a caller keeps an entry answer.
+	EntryTTL time.Duration
 }
 
 // Parts are what the API stands on.
@@ -71,7 +67,7 @@
 	Claims *claim.Claims
 	// Plain serves every path that is not the API's own.
 	Plain http.Handler
-	// Entry answers GET /v1/entry.
+	// Entry chooses the addresses of GET /v1/entry.
 	Entry Entry
 }
 
@@ -94,7 +90,7 @@
 	router.HandlerFunc(http.MethodPost, "/v1/chat/completions", api.serveChat)
 	router.HandlerFunc(http.MethodPost, "/v1/completions", api.serveCompletions)
 	router.HandlerFunc(http.MethodGet, "/v1/models", api.serveModels)
-	router.HandlerFunc(http.MethodGet, "/v1/entry", api.parts.Entry.ServeEntry)
+	router.HandlerFunc(http.MethodGet, "/v1/entry", api.serveEntry)
 	router.NotFound = http.HandlerFunc(api.serveOther)
 	router.MethodNotAllowed = http.HandlerFunc(serveMethodNotAllowed)
 	router.RedirectTrailingSlash = false
@@ -243,7 +239,7 @@
 	if s.chat {
 		prompt = body.Messages
 	}
-	return &request.Request{
+	req := &request.Request{
 		ID:        r.Header.Get(headerRequestID),
 		Ticket:    ticket,
 		Weights:   weights,
@@ -256,7 +252,11 @@
 		Deadline:  arrival.Add(api.limits.RequestTimeout),
 
 		NotRepeatable: notRepeatable,
-	}, nil
+	}
+	if limit := weights.MaxRequestTokens; limit > 0 && req.Cost() > float64(limit) {
+		return nil, failure.New(failure.BadRequest, "prompt and max_tokens make %.0f tokens, the model takes %d", req.Cost(), limit)
+	}
+	return req, nil
 }
 
 func classOf(header string, byDefault object.Class) (object.Class, error) {
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -5,8 +5,6 @@
 	"encoding/hex"
 	"time"
 
-	"github.com/go-json-experiment/json"
-
 	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/recording"
@@ -49,7 +47,7 @@
 }
 
 func (c *content) encode() ([]byte, error) {
-	data, err := json.Marshal(c, document.Durations())
+	data, err := document.Marshal(c)
 	if err != nil {
 		return nil, failure.Wrap(failure.Internal, err, "encode claim")
 	}
@@ -58,7 +56,7 @@
 
 func decode(row table.Row) (*content, error) {
 	var c content
-	if err := json.Unmarshal(row.Value, &c, document.Durations()); err != nil {
+	if err := document.Unmarshal(row.Value, &c); err != nil {
 		return nil, failure.Wrap(failure.OutcomeUnknown, err, "decode claim row %s", row.Key)
 	}
 	return &c, nil
--- a/internal/claim/schedule_test.go
+++ b/internal/claim/schedule_test.go
@@ -72,6 +72,7 @@
 		return 0, lost()
 	case out:
 		return 0, failure.New(failure.StoreUnavailable, "out")
+	default:
 	}
 	return t.Store.Commit(ctx, tx)
 }
@@ -125,6 +126,7 @@
 	case refusedByTarget:
 		held.Release(ctx)
 		return nil, failure.New(failure.Overloaded, "refused")
+	default:
 	}
 	answer := w.run(a.id)
 	switch a.life {
@@ -133,6 +135,7 @@
 	case losesAnswer:
 		held.Unknown(ctx)
 		return nil, lost()
+	default:
 	}
 	held.Answered(ctx, answer)
 	return answer, nil
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -23,7 +23,14 @@
 	if err := check(r); err != nil {
 		return &finalError{err}
 	}
-	req := generateRequest(r, p.offset)
+	if p.offset > 0 && place.Version != p.version {
+		p.tried = append(p.tried, place.Target)
+		return failure.New(failure.NoReplica, "%s holds version %s, the answer began with %s", place.Target, place.Version, p.version)
+	}
+	before := p.offset
+	defer func() { place.Served(p.offset - before) }()
+	p.version = place.Version
+	req := generateRequest(r, place.Version, p.offset)
 	logger := d.logger.With("request_id", r.ID, "attempt_id", req.AttemptID, "target", place.Target)
 	d.ejection.Begin(place.Target)
 	stream, err := d.engines.Generate(ctx, place.Address, req)
@@ -32,7 +39,7 @@
 		return d.notBegun(ctx, place, req.AttemptID, p, err)
 	}
 	p.mayHaveRun = true
-	err = d.relay(stream, p, sink)
+	err = d.relay(stream, place, p, sink)
 	d.ended(ctx, place, stream, req.AttemptID, p, err)
 	if err == nil {
 		return nil
@@ -54,7 +61,7 @@
 	short, cancel := context.WithTimeout(ctx, excludeWait)
 	defer cancel()
 	place, err := d.schedule.Acquire(short, r, exclude)
-	if err == nil || ctx.Err() != nil || short.Err() == nil {
+	if err == nil || ctx.Err() != nil {
 		return place, err
 	}
 	return d.schedule.Acquire(ctx, r, nil)
@@ -137,11 +144,11 @@
 	}()
 }
 
-func generateRequest(r *request.Request, offset int) *engine.GenerateRequest {
+func generateRequest(r *request.Request, version string, offset int) *engine.GenerateRequest {
 	return &engine.GenerateRequest{
 		AttemptID: uuid.NewString(),
 		Model:     r.Weights.Model,
-		Version:   r.Weights.Version,
+		Version:   version,
 		Adapter:   r.Weights.Adapter,
 		Prompt:    r.Prompt,
 		Sampling:  r.Sampling,
@@ -154,12 +161,16 @@
 // relay copies frames to the sink. A frame that the caller already has is
 // dropped; one that skips tokens ends the attempt, so that the next resumes
 // at the offset.
-func (d *Dispatch) relay(stream *engine.Stream, p *progress, sink Sink) error {
+func (d *Dispatch) relay(stream *engine.Stream, place *schedule.Place, p *progress, sink Sink) error {
 	var f engine.Frame
-	for {
+	for begun := false; ; {
 		if err := stream.Next(&f); err != nil {
 			return err
 		}
+		if !begun {
+			begun = true
+			place.Started()
+		}
 		switch {
 		case f.Done && f.Offset == p.offset:
 			return left(sink.Finish(f.FinishReason, f.Usage))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -95,6 +95,9 @@
 // progress is how far an answer has come.
 type progress struct {
 	offset int
+	// version is the model's version that gave the tokens; an answer never
+	// mixes versions.
+	version string
 	// tried are the engines that failed since the last token.
 	tried []string
 	// mayHaveRun is true once an attempt may have run at an engine.
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -12,7 +12,7 @@
 		claim.WithDispatchWindow(cfg.DispatchWindow),
 		claim.WithRetention(cfg.ClaimRetention),
 		claim.WithWritesPerSecond(cfg.ClaimWritesPerSecond),
-		claim.WithMembers(g.succeeded, func() int { return len(g.gateways()) }))
+		claim.WithMembers(g.succeeded, func() int { return len(g.membership.Live(member.Gateway)) }))
 }
 
 // succeeded reports whether a holder's process has certainly ended, since its
