--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"fireflypier.example/fireflypier/internal/failure"
@@ -73,6 +74,8 @@
 	group  *group
 	done   chan struct{}
 
+	results *prometheus.CounterVec
+
 	mu         sync.Mutex
 	flights    map[string]*flight
 	background int
@@ -117,6 +120,7 @@
 		group:   &group{table: t, clock: clock, interval: time.Second / defaultWritesPerSecond},
 		done:    make(chan struct{}),
 		flights: map[string]*flight{},
+		results: newResults(),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -139,6 +143,12 @@
 // RequestIDReused, OutcomeUnknown, AnswerNotKept and Canceled, and
 // StoreUnavailable, after which this process never dispatches the request.
 func (c *Claims) Claim(ctx context.Context, r *Request) (*Claim, *recording.Answer, error) {
+	claim, answer, err := c.claim(ctx, r)
+	c.count(claim, err)
+	return claim, answer, err
+}
+
+func (c *Claims) claim(ctx context.Context, r *Request) (*Claim, *recording.Answer, error) {
 	key := rowKey(r.Customer, r.ID)
 	for {
 		f, mine := c.enter(key, r.Digest)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -39,7 +39,7 @@
 		return d.notBegun(ctx, place, req.AttemptID, p, err)
 	}
 	p.mayHaveRun = true
-	err = d.relay(stream, place, p, sink)
+	err = d.relay(stream, place.Started, p, sink)
 	d.ended(ctx, place, stream, req.AttemptID, p, err)
 	if err == nil {
 		return nil
@@ -160,8 +160,8 @@
 
 // relay copies frames to the sink. A frame that the caller already has is
 // dropped; one that skips tokens ends the attempt, so that the next resumes
-// at the offset.
-func (d *Dispatch) relay(stream *engine.Stream, place *schedule.Place, p *progress, sink Sink) error {
+// at the offset. It calls started at the first frame.
+func (d *Dispatch) relay(stream *engine.Stream, started func(), p *progress, sink Sink) error {
 	var f engine.Frame
 	for begun := false; ; {
 		if err := stream.Next(&f); err != nil {
@@ -169,7 +169,7 @@
 		}
 		if !begun {
 			begun = true
-			place.Started()
+			started()
 		}
 		switch {
 		case f.Done && f.Offset == p.offset:
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -1,15 +1,18 @@
 package gateway
 
 import (
+	"github.com/prometheus/client_golang/prometheus"
+
 	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/member"
 )
 
-func (g *Gateway) newClaims(self member.Member) *claim.Claims {
+func (g *Gateway) newClaims(self member.Member, registry *prometheus.Registry) *claim.Claims {
 	cfg := &g.cfg.Requests
 	holder := claim.Holder{Name: self.Name, Incarnation: self.Incarnation}
 	return claim.New(g.platform, holder, g.clock, g.logger,
 		claim.WithDispatchWindow(cfg.DispatchWindow),
+		claim.WithMetrics(registry),
 		claim.WithRetention(cfg.ClaimRetention),
 		claim.WithWritesPerSecond(cfg.ClaimWritesPerSecond),
 		claim.WithMembers(g.succeeded, func() int { return len(g.membership.Live(member.Gateway)) }))
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/member"
 )
@@ -18,6 +19,8 @@
 		VouchedAge    time.Duration     `json:"vouched_age"`
 		Members       []member.Member   `json:"members"`
 		EngineViews   []engineview.View `json:"engine_views"`
+		Claims        claim.State       `json:"claims"`
+		Ejected       []string          `json:"ejected_targets"`
 		CallerAddress string            `json:"caller_address"`
 	}{
 		Self:          g.membership.Self(),
@@ -27,6 +30,8 @@
 		VouchedAge:    age,
 		Members:       g.membership.All(),
 		EngineViews:   g.views.All(),
+		Claims:        g.claims.State(),
+		Ejected:       g.ejected.All(),
 		CallerAddress: g.Addr().String(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	follower   *follower.Follower
 	membership *membership.Membership
 	claims     *claim.Claims
+	ejected    *ejection.Ejection
 	views      *engineview.Views
 	entry      *entryPoint
 	leaving    atomic.Bool
@@ -89,21 +90,22 @@
 		opt(g)
 	}
 	g.platform = platform.New(cfg.Platform)
+	g.ejected = ejection.New(g.clock)
 	g.adoption = adoption.New(g.clock, cfg.FreshnessBound)
 	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
 	self := g.self()
-	g.claims = g.newClaims(self)
+	registry := prometheus.NewRegistry()
+	g.claims = g.newClaims(self, registry)
 	g.membership = membership.New(self, g.platform, g.clock, g.logger)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
-	if err := g.listen(); err != nil {
+	if err := g.listen(registry); err != nil {
 		return nil, err
 	}
 	g.subscriber = feed.NewSubscriber(cfg.Name, g.dialer, g.controllers, g.deliver, g.clock, g.logger)
 	return g, nil
 }
 
-func (g *Gateway) listen() error {
-	registry := prometheus.NewRegistry()
+func (g *Gateway) listen(registry *prometheus.Registry) error {
 	var err error
 	g.peers, err = peer.Listen(g.cfg.PeerListen, g.logger)
 	if err != nil {
@@ -128,11 +130,10 @@
 	limits := limiter.New(g.clock, 1)
 	g.adoption.OnChange(limits.SetCatalog)
 	budget := retry.NewBudget(g.clock)
-	ejected := ejection.New(g.clock)
 	cfg := &g.cfg.Requests
 	plain := plainroute.New(plainroute.Parts{
 		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits,
-		Claims: g.claims, Budget: budget, Ejection: ejected, Leaving: g.views.Leaving,
+		Claims: g.claims, Budget: budget, Ejection: g.ejected, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
 		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
 		MaxRecordedBytes: cfg.MaxRecordedBytes, WriteError: callerapi.WriteError,
@@ -155,7 +156,7 @@
 		Admission: admit,
 		Limiter:   limits,
 		Dispatch: dispatch.New(engines, g.schedule(), g.logger, dispatch.WithClock(g.clock),
-			dispatch.WithRetries(budget, ejected), dispatch.WithMetrics(registry)),
+			dispatch.WithRetries(budget, g.ejected), dispatch.WithMetrics(registry)),
 		Plain: plain,
 		Entry: g.entry,
 	})
