--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"fireflypier.example/fireflypier/internal/retry"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/share/sharepb"
 )
 
 // Gateway is one gateway process.
@@ -59,6 +60,7 @@
 	views      *engineview.Views
 	entry      *entryPoint
 	leaving    atomic.Bool
+	limiter    *limiter.Limiter
 	subscriber *feed.Subscriber
 	peers      *peer.Server
 	dialer     *peer.Dialer
@@ -98,6 +100,7 @@
 	g.claims = g.newClaims(self, registry)
 	g.membership = membership.New(self, g.platform, g.clock, g.logger)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
+	g.limiter = g.newLimiter()
 	if err := g.listen(registry); err != nil {
 		return nil, err
 	}
@@ -111,6 +114,10 @@
 	if err != nil {
 		return err
 	}
+	if err := sharepb.DRPCRegisterShares(g.peers.Mux(), g.limiter.Server()); err != nil {
+		return errors.Wrap(err, "serve shares")
+	}
+	registry.MustRegister(g.limiter.Collectors()...)
 	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI(registry).Handler()), g.clock)
 	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
 	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
@@ -127,12 +134,11 @@
 
 func (g *Gateway) callerAPI(registry *prometheus.Registry) *callerapi.API {
 	admit := admission.New(g.adoption)
-	limits := limiter.New(g.clock, 1)
-	g.adoption.OnChange(limits.SetCatalog)
+	g.adoption.OnChange(g.limiter.SetCatalog)
 	budget := retry.NewBudget(g.clock)
 	cfg := &g.cfg.Requests
 	plain := plainroute.New(plainroute.Parts{
-		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: limits,
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter,
 		Claims: g.claims, Budget: budget, Ejection: g.ejected, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
 		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
@@ -154,7 +160,7 @@
 		},
 		Claims:    g.claims,
 		Admission: admit,
-		Limiter:   limits,
+		Limiter:   g.limiter,
 		Dispatch: dispatch.New(engines, g.schedule(), g.logger, dispatch.WithClock(g.clock),
 			dispatch.WithRetries(budget, g.ejected), dispatch.WithMetrics(registry)),
 		Plain: plain,
@@ -222,6 +228,7 @@
 	defer stop()
 	wg.Go(func() { g.follower.Run(background) })
 	wg.Go(func() { g.membership.Run(background) })
+	wg.Go(func() { g.limiter.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
 	wg.Go(func() { g.claims.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
@@ -257,6 +264,7 @@
 	}
 	g.sleep(ctx, leaveNotice+g.cfg.EntryTTL)
 	err := g.callers.Shutdown(ctx)
+	g.limiter.Release(ctx)
 	g.logError("admin", g.admin.Shutdown(ctx))
 	return errors.Wrap(err, "drain gateway")
 }
--- a/internal/plainroute/plainroute.go
+++ b/internal/plainroute/plainroute.go
@@ -155,7 +155,11 @@
 	if p.route.CostTokens <= 0 || p.ticket.Customer == "" {
 		return nil, nil
 	}
-	return s.parts.Limiter.Take(p.r.Context(), p.ticket.Customer, p.route.CostTokens)
+	charge, err := s.parts.Limiter.Take(p.r.Context(), p.ticket.Customer, p.route.CostTokens)
+	if err != nil {
+		return nil, err
+	}
+	return &charge, nil
 }
 
 func (s *Routes) admit(r *http.Request, route *catalog.Route) (admission.Ticket, error) {
