--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -117,40 +117,48 @@
 	})
 })
 
-// BenchmarkGroupedClaims claims and records at a fixed number of gateways
-// against a store that takes 2 ms for each transaction, with 256 requests
-// under way, and reports requests and transactions a second.
-func BenchmarkGroupedClaims(b *testing.B) {
-	for _, gateways := range []int{1, 7} {
-		b.Run(fmt.Sprint("gateways=", gateways), func(b *testing.B) {
+// BenchmarkClaims claims and records at 7 gateways against a store that takes
+// 2 ms for each transaction, with 256 requests under way and 50 transactions a
+// second at each gateway. The baseline writes each row by itself.
+func BenchmarkClaims(b *testing.B) {
+	const gateways = 7
+	for name, most := range map[string]int{"grouped": maxGroupWrites, "baseline": 1} {
+		b.Run(name, func(b *testing.B) {
 			store := &slowTable{Store: tablestore.New(), delay: 2 * time.Millisecond}
 			all := make([]*Claims, gateways)
 			for i := range all {
 				all[i] = newClaims(store, clockwork.NewRealClock(), fmt.Sprint(i))
-			}
-			const underWay = 256
-			next := make(chan int)
-			var wg conc.WaitGroup
-			for worker := range underWay {
-				wg.Go(func() {
-					for i := range next {
-						held, _, err := all[worker%gateways].Claim(context.Background(), named(fmt.Sprint(b.N, "-", i)))
-						if err != nil {
-							panic(err)
-						}
-						held.Answered(context.Background(), &recording.Answer{Status: 200, Body: []byte("ok")})
-					}
-				})
+				all[i].group.most = most
 			}
 			b.ResetTimer()
-			for i := range b.N {
-				next <- i
-			}
-			close(next)
-			wg.Wait()
+			claimAll(b, all)
 			seconds := b.Elapsed().Seconds()
 			b.ReportMetric(float64(b.N)/seconds, "requests/s")
 			b.ReportMetric(float64(store.Counts().Commits)/seconds, "transactions/s")
 		})
 	}
 }
+
+// claimAll claims and records b.N requests.
+func claimAll(b *testing.B, all []*Claims) {
+	const underWay = 256
+	next := make(chan int)
+	var wg conc.WaitGroup
+	for worker := range underWay {
+		wg.Go(func() {
+			for i := range next {
+				held, _, err := all[worker%len(all)].Claim(context.Background(), named(fmt.Sprint(b.N, "-", i)))
+				if err != nil {
+					b.Error(err)
+					continue
+				}
+				held.Answered(context.Background(), &recording.Answer{Status: 200, Body: []byte("ok")})
+			}
+		})
+	}
+	for i := range b.N {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+}
--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxGroupWrites bounds the rows of one transaction.
+	// maxGroupWrites bounds the rows of a transaction by default.
 	maxGroupWrites = 256
 	// maxGroupBytes bounds the content of one transaction.
 	maxGroupBytes = 1 << 20
@@ -41,6 +41,8 @@
 	clock clockwork.Clock
 	// interval is the shortest time between two transactions.
 	interval time.Duration
+	// most bounds the rows of one transaction.
+	most int
 
 	mu      sync.Mutex
 	waiting []*operation
@@ -106,7 +108,7 @@
 	bytes := 0
 	for _, op := range g.waiting {
 		size := len(op.write.Value)
-		full := len(ops) == maxGroupWrites || len(ops) > 0 && bytes+size > maxGroupBytes
+		full := len(ops) == g.most || len(ops) > 0 && bytes+size > maxGroupBytes
 		if full || keys[op.write.Key] {
 			rest = append(rest, op)
 			continue
--- a/internal/standin/modelengine/config.go
+++ b/internal/standin/modelengine/config.go
@@ -46,6 +46,7 @@
 	// LoseStarts is the number of following generations that run without
 	// their caller seeing any of it.
 	LoseStarts int `json:"lose_starts,omitzero"`
-	// Refuse answers every generation as overloaded.
+	// Refuse answers every generation as overloaded, once no more starts are
+	// to be lost.
 	Refuse bool `json:"refuse,omitzero"`
 }
--- a/internal/standin/modelengine/generate.go
+++ b/internal/standin/modelengine/generate.go
@@ -64,7 +64,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case e.fault.Refuse, len(e.waiting) > e.cfg.MaxWaiting:
+	case e.fault.Refuse && e.fault.LoseStarts == 0, len(e.waiting) > e.cfg.MaxWaiting:
 		return nil, failure.New(failure.Overloaded, "%d requests wait", len(e.waiting))
 	case !e.hasWeights(req):
 		return nil, failure.New(failure.NoReplica, "model %s %s adapter %q is not loaded", req.Model, req.Version, req.Adapter)
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -37,7 +37,7 @@
 	// answered.
 	LoseAnswers int `json:"lose_answers,omitzero"`
 	// RefuseNext is the number of following requests answered 503 with the
-	// header Not-Run, without being run.
+	// header Not-Run, without being run, once no more answers are to be lost.
 	RefuseNext int `json:"refuse_next,omitzero"`
 	// CutAnswers is the number of following requests that run and whose
 	// answers break off.
@@ -117,7 +117,7 @@
 func (s *Service) refuses() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fault.RefuseNext == 0 {
+	if s.fault.RefuseNext == 0 || s.fault.LoseAnswers > 0 {
 		return false
 	}
 	s.fault.RefuseNext--
--- a/tests/not_run_test.go
+++ b/tests/not_run_test.go
@@ -79,6 +79,7 @@
 		{name: "engines without room", engines: modelengine.Fault{Refuse: true}, send: chatAs(circleKey, smallChat, nil), want: refusal{"overloaded", true}},
 		{name: "a lost start, not repeatable", engines: modelengine.Fault{LoseStarts: 9}, send: chatAs(circleKey, smallChat, notRepeatable), want: refusal{"outcome_unknown", false}, ran: 1},
 		{name: "lost starts everywhere", engines: modelengine.Fault{LoseStarts: 9}, send: chatAs(circleKey, smallChat, nil), want: refusal{"outcome_unknown", false}, ran: 4},
+		{name: "lost starts, then no room", engines: modelengine.Fault{LoseStarts: 1, Refuse: true}, send: chatAs(circleKey, smallChat, nil), want: refusal{"outcome_unknown", false}, ran: 2},
 		{name: "a cut answer, not repeatable", engines: modelengine.Fault{CutAfterTokens: 1}, send: chatAs(circleKey, smallChat, notRepeatable), want: refusal{"target_failed", false}, ran: 1},
 		{
 			name: "the store out, claimed", store: cloud.Fault{Fault: tablestore.Fault{Outage: true}},
@@ -98,6 +99,7 @@
 		{name: "a refusing target", service: plainservice.Fault{RefuseNext: 99}, send: order, want: refusal{"overloaded", true}},
 		{name: "a lost answer", service: plainservice.Fault{LoseAnswers: 1}, send: order, want: refusal{"outcome_unknown", false}, ran: 1},
 		{name: "lost answers, repeatable", service: plainservice.Fault{LoseAnswers: 99}, send: plainAs(http.MethodGet, "", "/status/gate", "", nil), want: refusal{"outcome_unknown", false}, ran: 4},
+		{name: "a lost answer, then refusals", service: plainservice.Fault{LoseAnswers: 1, RefuseNext: 99}, send: plainAs(http.MethodGet, "", "/status/gate", "", nil), want: refusal{"outcome_unknown", false}, ran: 1},
 		{name: "a lost answer, marked", service: plainservice.Fault{LoseAnswers: 1}, send: plainAs(http.MethodGet, "", "/status/gate", "", notRepeatable), want: refusal{"outcome_unknown", false}, ran: 1},
 		{name: "a slow target", service: plainservice.Fault{Delay: 800 * time.Millisecond}, send: plainAs(http.MethodPost, circleKey, "/quick/order", "bands", nil), want: refusal{"outcome_unknown", false}, ran: 1},
 		{name: "no target that listens", send: plainAs(http.MethodPost, circleKey, "/gone/order", "bands", nil), want: refusal{"no_replica", true}},
