Prove the rate under faults with real processes

tests/rates_test.go: three gateways hammered at once; killed and restarted twice, frozen and thawed, cut off from store and peers, store out with a kill, rate changed under load. What the stand-in service ran is compared with burst + rate x elapsed.

--- /dev/null
+++ b/tests/rates_test.go
@@ -0,0 +1,277 @@
+package tests
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/standin/plainservice"
+)
+
+const (
+	meteredKey  = "key-of-the-metered-customer"
+	meteredCost = 100
+	meteredRate = 2000
+)
+
+// meteredFleet is a small fleet whose gateways reach the platform and each
+// other through fault proxies.
+type meteredFleet struct {
+	*smallFleet
+	platforms []*faultproxy.Proxy
+	peers     []*faultproxy.Proxy
+}
+
+func startMeteredFleet(ctx context.Context, gateways int) *meteredFleet {
+	f := &meteredFleet{smallFleet: startSmallFleet(ctx, 0, 1)}
+	f.setRate(ctx, meteredRate, meteredRate)
+	for i := range gateways {
+		f.startMetered(ctx, i)
+	}
+	for _, g := range f.gateways {
+		Expect(g.Ready(ctx)).To(Succeed())
+	}
+	return f
+}
+
+func proxyTo(addr netip.AddrPort) *faultproxy.Proxy {
+	p, err := faultproxy.Start(addr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(p.Close)
+	return p
+}
+
+func (f *meteredFleet) startMetered(ctx context.Context, i int) {
+	f.platforms = append(f.platforms, proxyTo(f.platform.Addr))
+	g, err := f.StartGateway(ctx, fmt.Sprintf("gateway-%d", i), func(cfg *settings.Gateway) {
+		f.peers = append(f.peers, proxyTo(cfg.PeerListen))
+		f.configure(cfg, i)
+	})
+	Expect(err).NotTo(HaveOccurred())
+	f.gateways = append(f.gateways, g)
+}
+
+// configure lets the configuration count as fresh however long the store is
+// out, so that the limiter alone has to keep the rate.
+func (f *meteredFleet) configure(cfg *settings.Gateway, i int) {
+	cfg.Platform = f.platforms[i].Addr()
+	cfg.PeerAddress = f.peers[i].Addr()
+	cfg.EntryTTL = time.Second
+	cfg.FreshnessBound = time.Hour
+}
+
+// restart starts a gateway again on its old addresses.
+func (f *meteredFleet) restart(ctx context.Context, i int) {
+	old := f.gateways[i]
+	g, err := f.StartGateway(ctx, old.Name, func(cfg *settings.Gateway) {
+		cfg.Listen = old.Addr
+		cfg.PeerListen = old.Peer
+		cfg.AdminListen = old.Admin
+		f.configure(cfg, i)
+	})
+	Expect(err).NotTo(HaveOccurred())
+	f.gateways[i] = g
+}
+
+func (f *meteredFleet) setRate(ctx context.Context, rate, burst float64) {
+	f.apply(ctx, &revision.Edit{Put: object.Set{
+		Rates:     map[string]object.Rate{"metered": {TokensPerSecond: rate, BurstTokens: burst}},
+		Customers: map[string]object.Customer{"metered": {Rate: "metered"}},
+		Keys:      map[string]object.Key{"metered-1": keyObject("metered", meteredKey)},
+		Routes: map[string]object.Route{
+			"metered": {PathPrefix: "/metered", Pool: "desk", CostTokens: meteredCost},
+		},
+	}})
+}
+
+// cut cuts a gateway off from the store and its peers, or joins it again.
+func (f *meteredFleet) cut(i int, fault faultproxy.Fault) {
+	for _, p := range []*faultproxy.Proxy{f.platforms[i], f.peers[i]} {
+		p.SetFault(fault)
+		p.CutAll()
+	}
+}
+
+// ran returns the tokens that the service really ran.
+func (f *meteredFleet) ran(ctx context.Context) float64 {
+	a := send(ctx, http.MethodGet, f.desk.Addr, "/standin/ran", "", "", nil)
+	Expect(a.status).To(Equal(http.StatusOK), a.body)
+	var body struct {
+		Ran []plainservice.Ran `json:"ran"`
+	}
+	Expect(json.Unmarshal([]byte(a.body), &body)).To(Succeed())
+	tokens := 0.0
+	for _, r := range body.Ran {
+		if strings.HasPrefix(r.Path, "/metered") {
+			tokens += meteredCost
+		}
+	}
+	return tokens
+}
+
+// hammer sends more than the rate at all gateways at once.
+type hammer struct {
+	f        *meteredFleet
+	begun    time.Time
+	ranAt    float64
+	stop     context.CancelFunc
+	wg       conc.WaitGroup
+	answered atomic.Int64
+}
+
+func (f *meteredFleet) hammer(ctx context.Context) *hammer {
+	h := &hammer{f: f, ranAt: f.ran(ctx), begun: time.Now()}
+	ctx, h.stop = context.WithCancel(ctx)
+	for _, g := range f.gateways {
+		for range 3 {
+			h.wg.Go(func() { h.send(ctx, g.Addr) })
+		}
+	}
+	return h
+}
+
+func (h *hammer) send(ctx context.Context, addr netip.AddrPort) {
+	for ctx.Err() == nil {
+		if send(ctx, http.MethodPost, addr, "/metered/order", meteredKey, "x", nil).status == http.StatusOK {
+			h.answered.Add(1)
+		}
+	}
+}
+
+// more waits until so many more requests have been answered well.
+func (h *hammer) more(ctx context.Context, n int64) {
+	goal := h.answered.Load() + n
+	Expect(fleet.Eventually(ctx, func() error {
+		if h.answered.Load() < goal {
+			return errors.New("too few requests were admitted")
+		}
+		return nil
+	})).To(Succeed())
+}
+
+// check stops sending and compares what ran with the bound.
+func (h *hammer) check(ctx context.Context, rate, burst float64) {
+	h.stop()
+	h.wg.Wait()
+	ran := h.f.ran(ctx) - h.ranAt
+	elapsed := time.Since(h.begun).Seconds()
+	AddReportEntry("rate", fmt.Sprintf("%.0f tokens ran, %.0f allowed", ran, burst+rate*elapsed))
+	Expect(ran).To(BeNumerically("<=", burst+rate*elapsed))
+}
+
+var _ = Describe("a customer's rate", func() {
+	It("bounds what all gateways together admit", func() {
+		ctx := testContext()
+		h := startMeteredFleet(ctx, 3).hammer(ctx)
+		h.more(ctx, 80)
+		h.check(ctx, meteredRate, meteredRate)
+	})
+
+	It("holds while a gateway is killed and restarted, twice", func() {
+		ctx := testContext()
+		f := startMeteredFleet(ctx, 3)
+		h := f.hammer(ctx)
+		for range 2 {
+			h.more(ctx, 40)
+			f.gateways[0].Kill()
+			h.more(ctx, 10)
+			f.restart(ctx, 0)
+		}
+		h.more(ctx, 40)
+		h.check(ctx, meteredRate, meteredRate)
+	})
+
+	It("holds while a gateway is frozen and thawed", func() {
+		ctx := testContext()
+		f := startMeteredFleet(ctx, 3)
+		h := f.hammer(ctx)
+		h.more(ctx, 40)
+		Expect(f.gateways[1].Freeze()).To(Succeed())
+		h.more(ctx, 30)
+		Expect(f.gateways[1].Thaw()).To(Succeed())
+		h.more(ctx, 40)
+		h.check(ctx, meteredRate, meteredRate)
+	})
+
+	It("holds while a gateway is cut off from the store and its peers", func() {
+		ctx := testContext()
+		f := startMeteredFleet(ctx, 3)
+		h := f.hammer(ctx)
+		h.more(ctx, 40)
+		f.cut(2, faultproxy.Fault{Refuse: true})
+		h.more(ctx, 30)
+		f.cut(2, faultproxy.Fault{})
+		f.cut(1, faultproxy.Fault{DropAnswers: true})
+		h.more(ctx, 30)
+		f.cut(1, faultproxy.Fault{})
+		h.more(ctx, 30)
+		h.check(ctx, meteredRate, meteredRate)
+	})
+
+	It("holds while the store is out, and traffic goes on", func() {
+		ctx := testContext()
+		f := startMeteredFleet(ctx, 3)
+		h := f.hammer(ctx)
+		h.more(ctx, 40)
+		for i := range f.platforms {
+			f.platforms[i].SetFault(faultproxy.Fault{Refuse: true})
+			f.platforms[i].CutAll()
+		}
+		h.more(ctx, 60)
+		f.gateways[0].Kill()
+		h.more(ctx, 20)
+		for i := range f.platforms {
+			f.platforms[i].SetFault(faultproxy.Fault{})
+		}
+		f.restart(ctx, 0)
+		h.more(ctx, 40)
+		h.check(ctx, meteredRate, meteredRate)
+	})
+
+	It("holds while it is changed under load", func() {
+		ctx := testContext()
+		f := startMeteredFleet(ctx, 3)
+		h := f.hammer(ctx)
+		h.more(ctx, 40)
+		const lowRate = 500
+		f.setRate(ctx, lowRate, lowRate)
+		h.more(ctx, 20)
+		h.check(ctx, meteredRate, meteredRate)
+
+		By("keeping the new rate once it is in force")
+		f.waitForRevision(ctx)
+		h = f.hammer(ctx)
+		h.more(ctx, 20)
+		h.check(ctx, lowRate, lowRate)
+	})
+})
+
+// waitForRevision waits until every gateway has the newest configuration.
+func (f *meteredFleet) waitForRevision(ctx context.Context) {
+	current, err := f.operator.Snapshot(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	for _, g := range f.gateways {
+		Expect(fleet.Eventually(ctx, func() error {
+			a := send(ctx, http.MethodGet, g.Admin, "/dump", "", "", nil)
+			if !strings.Contains(a.body, fmt.Sprintf(`"revision": %d`, current.Revision)) {
+				return errors.New("the gateway has an older revision")
+			}
+			return nil
+		})).To(Succeed())
+	}
+}
