Test the limiter's waiting, refunds and release, and measure Take

A refused waiting request counted its own cost twice in Retry-After (test: 200 s instead of 100 s); it is counted once now.

--- a/internal/limiter/customer.go
+++ b/internal/limiter/customer.go
@@ -75,7 +75,7 @@
 		}
 	}
 	if now.Before(cu.dryUntil) && cu.missing(tokens, now) > maxWait {
-		return nil, Charge{}, cu.refuse(tokens, now)
+		return nil, Charge{}, cu.refuse(tokens, cu.missing(tokens, now))
 	}
 	w := &waiter{tokens: tokens, deadline: now.Add(maxWait), ready: make(chan result, 1)}
 	cu.waiters = append(cu.waiters, w)
@@ -98,10 +98,11 @@
 	return sum
 }
 
-func (cu *customer) refuse(tokens float64, now time.Time) error {
+// refuse counts a refused request; wait is when its tokens will be there.
+func (cu *customer) refuse(tokens float64, wait time.Duration) error {
 	cu.limiter.counts.refused.Add(tokens)
 	return failure.New(failure.RateExceeded, "the rate of customer %s is used up", cu.name).
-		WithRetryAfter(max(leastRetryAfter, cu.missing(tokens, now)))
+		WithRetryAfter(max(leastRetryAfter, wait))
 }
 
 // wait returns the result for a request in the queue.
@@ -130,7 +131,7 @@
 	if ctx.Err() != nil {
 		return Charge{}, failure.New(failure.Canceled, "the caller left while the request waited for tokens")
 	}
-	return Charge{}, cu.refuse(w.tokens, cu.now())
+	return Charge{}, cu.refuse(w.tokens, cu.missing(w.tokens, cu.now()))
 }
 
 // admit gives tokens to waiting requests in order and reports how many tokens
@@ -168,7 +169,7 @@
 	cu.waiters = slices.DeleteFunc(cu.waiters, func(w *waiter) bool {
 		needed := time.Duration((ahead + w.tokens) / cu.rate.TokensPerSecond * float64(time.Second))
 		if now.Add(needed).After(w.deadline) {
-			w.ready <- result{err: cu.refuse(w.tokens, now)}
+			w.ready <- result{err: cu.refuse(w.tokens, needed)}
 			return true
 		}
 		ahead += w.tokens
--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,173 @@
+package limiter_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/catalog"
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/limiter"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/share"
+	"fireflypier.example/fireflypier/internal/share/sharepb"
+	"fireflypier.example/fireflypier/internal/standin/tablestore"
+)
+
+// group is limiters in one process that reach each other directly.
+type group struct {
+	store    *tablestore.Store
+	clock    clockwork.Clock
+	limiters []*limiter.Limiter
+	fresh    error
+}
+
+func holder(i int) share.Holder {
+	return share.Holder{
+		Name: fmt.Sprint("gateway-", i), Incarnation: fmt.Sprint("life-", i), Region: "region-1",
+		Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)),
+	}
+}
+
+// Pull implements limiter.Peers.
+func (g *group) Pull(ctx context.Context, h *share.Holder, req *sharepb.PullRequest) (*sharepb.PullReply, error) {
+	i := int(h.Address.Port()) - 1
+	if i >= len(g.limiters) {
+		return nil, errors.New("no such gateway")
+	}
+	return g.limiters[i].Server().Pull(ctx, req)
+}
+
+func (g *group) add(rates *catalog.Catalog) *limiter.Limiter {
+	l := limiter.New(limiter.Parts{
+		Clock: g.clock, Logger: hclog.NewNullLogger(), Table: g.store, Peers: g,
+		Self:     holder(len(g.limiters)),
+		Gateways: func(string) []share.Holder { return []share.Holder{holder(0)} },
+		Fresh:    func() error { return g.fresh },
+	})
+	l.SetCatalog(rates)
+	g.limiters = append(g.limiters, l)
+	return l
+}
+
+func ratesOf(customers int, rate object.Rate) *catalog.Catalog {
+	s := revision.Empty()
+	s.Objects = object.Set{Rates: map[string]object.Rate{"r": rate}, Customers: map[string]object.Customer{}}
+	for i := range customers {
+		s.Objects.Customers[fmt.Sprint("customer-", i)] = object.Customer{Rate: "r"}
+	}
+	return catalog.New(s)
+}
+
+var _ = Describe("the limiter", func() {
+	const customer = "customer-0"
+	var (
+		ctx  context.Context
+		g    *group
+		a, b *limiter.Limiter
+	)
+	BeforeEach(func() {
+		ctx = context.Background()
+		g = &group{store: tablestore.New(), clock: clockwork.NewRealClock()}
+		rates := ratesOf(1, object.Rate{TokensPerSecond: 1, BurstTokens: 1000})
+		a, b = g.add(rates), g.add(rates)
+	})
+
+	It("lets the first request of a customer through", func() {
+		_, err := a.Take(ctx, customer, 1000)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("refuses what costs more than the burst, and what the rate does not yield in time", func() {
+		_, err := a.Take(ctx, customer, 1001)
+		Expect(failure.Is(err, failure.RequestTooCostly)).To(BeTrue())
+		_, err = a.Take(ctx, customer, 1000)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = a.Take(ctx, customer, 100)
+		Expect(failure.Is(err, failure.RateExceeded)).To(BeTrue())
+		Expect(failure.From(err).RetryAfter).To(BeNumerically("~", 100*time.Second, 5*time.Second))
+	})
+
+	It("pulls tokens for a gateway that holds none, also while the store is out", func() {
+		_, err := a.Take(ctx, customer, 100)
+		Expect(err).NotTo(HaveOccurred())
+		g.store.SetFault(tablestore.Fault{Outage: true})
+		_, err = b.Take(ctx, customer, 900)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = a.Take(ctx, customer, 10)
+		Expect(failure.Is(err, failure.RateExceeded)).To(BeTrue())
+	})
+
+	It("gives back what a request did not use", func() {
+		charge, err := a.Take(ctx, customer, 1000)
+		Expect(err).NotTo(HaveOccurred())
+		charge.Settle(400)
+		_, err = a.Take(ctx, customer, 600)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = a.Take(ctx, customer, 10)
+		Expect(failure.Is(err, failure.RateExceeded)).To(BeTrue())
+	})
+
+	It("admits nothing and gives nothing while the configuration is stale", func() {
+		_, err := a.Take(ctx, customer, 1)
+		Expect(err).NotTo(HaveOccurred())
+		g.fresh = failure.New(failure.StaleConfiguration, "stale")
+		_, err = a.Take(ctx, customer, 1)
+		Expect(failure.Is(err, failure.StaleConfiguration)).To(BeTrue())
+		reply, err := a.Server().Pull(ctx, &sharepb.PullRequest{Customer: customer, Tokens: 5, Address: "127.0.0.1:9"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.GetTokens()).To(BeZero())
+	})
+
+	It("survives lost answers of the store and gives its shares away when it leaves", func() {
+		g.store.SetFault(tablestore.Fault{LoseAnswers: 1})
+		_, err := a.Take(ctx, customer, 100)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = b.Take(ctx, customer, 100)
+		Expect(err).NotTo(HaveOccurred())
+		a.Release(ctx)
+		Expect(a.Shares()[customer].Parts).To(BeZero())
+		row, err := g.store.Get(ctx, share.RowPrefix+customer)
+		Expect(err).NotTo(HaveOccurred())
+		decoded, err := share.DecodeRow(row.Value)
+		Expect(err).NotTo(HaveOccurred())
+		_, held := decoded.Holder(holder(0).Incarnation)
+		Expect(held).To(BeFalse())
+	})
+})
+
+// BenchmarkTake measures an admission whose tokens are there.
+func BenchmarkTake(b *testing.B) {
+	for _, customers := range []int{5, 500, 5000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			g := &group{store: tablestore.New(), clock: clockwork.NewRealClock()}
+			l := g.add(ratesOf(customers, object.Rate{TokensPerSecond: 1e12, BurstTokens: 1e12}))
+			names := make([]string, customers)
+			for i := range names {
+				names[i] = fmt.Sprint("customer-", i)
+				if _, err := l.Take(b.Context(), names[i], 1); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				charge, err := l.Take(b.Context(), names[i%customers], 100)
+				if err != nil {
+					b.Fatal(err)
+				}
+				charge.Settle(50)
+				i++
+			}
+		})
+	}
+}
--- a/internal/share/schedule_test.go
+++ b/internal/share/schedule_test.go
@@ -120,7 +120,7 @@
 			g.alive = false
 		}
 	},
-	func(w *world, g *gateway, n int) { // leave
+	func(_ *world, g *gateway, n int) { // leave
 		if g.runs() && n%8 == 0 {
 			g.share.Leave()
 		}
--- a/tests/rates_test.go
+++ b/tests/rates_test.go
@@ -27,6 +27,8 @@
 	meteredKey  = "key-of-the-metered-customer"
 	meteredCost = 100
 	meteredRate = 2000
+	// meteredGateways is the number of gateways.
+	meteredGateways = 3
 )
 
 // meteredFleet is a small fleet whose gateways reach the platform and each
@@ -37,10 +39,10 @@
 	peers     []*faultproxy.Proxy
 }
 
-func startMeteredFleet(ctx context.Context, gateways int) *meteredFleet {
+func startMeteredFleet(ctx context.Context) *meteredFleet {
 	f := &meteredFleet{smallFleet: startSmallFleet(ctx, 0, 1)}
 	f.setRate(ctx, meteredRate, meteredRate)
-	for i := range gateways {
+	for i := range meteredGateways {
 		f.startMetered(ctx, i)
 	}
 	for _, g := range f.gateways {
@@ -177,14 +179,14 @@
 var _ = Describe("a customer's rate", func() {
 	It("bounds what all gateways together admit", func() {
 		ctx := testContext()
-		h := startMeteredFleet(ctx, 3).hammer(ctx)
+		h := startMeteredFleet(ctx).hammer(ctx)
 		h.more(ctx, 80)
 		h.check(ctx, meteredRate, meteredRate)
 	})
 
 	It("holds while a gateway is killed and restarted, twice", func() {
 		ctx := testContext()
-		f := startMeteredFleet(ctx, 3)
+		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		for range 2 {
 			h.more(ctx, 40)
@@ -198,7 +200,7 @@
 
 	It("holds while a gateway is frozen and thawed", func() {
 		ctx := testContext()
-		f := startMeteredFleet(ctx, 3)
+		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		h.more(ctx, 40)
 		Expect(f.gateways[1].Freeze()).To(Succeed())
@@ -210,7 +212,7 @@
 
 	It("holds while a gateway is cut off from the store and its peers", func() {
 		ctx := testContext()
-		f := startMeteredFleet(ctx, 3)
+		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		h.more(ctx, 40)
 		f.cut(2, faultproxy.Fault{Refuse: true})
@@ -225,7 +227,7 @@
 
 	It("holds while the store is out, and traffic goes on", func() {
 		ctx := testContext()
-		f := startMeteredFleet(ctx, 3)
+		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		h.more(ctx, 40)
 		for i := range f.platforms {
@@ -245,7 +247,7 @@
 
 	It("holds while it is changed under load", func() {
 		ctx := testContext()
-		f := startMeteredFleet(ctx, 3)
+		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		h.more(ctx, 40)
 		const lowRate = 500
