--- a/internal/share/proposal.go
+++ b/internal/share/proposal.go
@@ -193,8 +193,9 @@
 		own = 0
 	}
 	pool, demanded := s.inUse, own
-	for _, w := range s.wants {
-		h, _ := s.row.Holder(w.holder.Incarnation)
+	for _, id := range slices.Sorted(maps.Keys(s.wants)) {
+		w := s.wants[id]
+		h, _ := s.row.Holder(id)
 		pool += h.Parts
 		demanded += w.demand
 	}
--- /dev/null
+++ b/internal/share/schemes_test.go
@@ -0,0 +1,289 @@
+package share_test
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"fireflypier.example/fireflypier/internal/bucket"
+	"fireflypier.example/fireflypier/internal/rendezvous"
+	"fireflypier.example/fireflypier/internal/share"
+)
+
+const (
+	peerLatency = time.Millisecond
+	// takeoverTime is how long one owner's lease outlives it.
+	takeoverTime = 5 * time.Second
+	// The limiter's times.
+	reconcileTime = 500 * time.Millisecond
+	readTime      = 2 * time.Second
+	dryTime       = 50 * time.Millisecond
+)
+
+// keeper is one gateway's share of one customer, driven as the limiter does.
+type keeper struct {
+	share  *share.Share
+	dry    time.Time
+	looked time.Time
+}
+
+type shares struct {
+	counts   counted
+	rows     [customers]share.Row
+	versions [customers]int64
+	keepers  [sites][customers]*keeper
+	life     [sites]int
+	out      bool
+	killed   bool
+}
+
+func newShares() scheme {
+	s := &shares{}
+	for site := range sites {
+		s.start(site, time.Unix(1000, 0))
+	}
+	return s
+}
+
+func (s *shares) holder(site int) share.Holder {
+	return share.Holder{
+		Name: fmt.Sprint(site), Incarnation: fmt.Sprint(site, "/", s.life[site]), Region: "r",
+		Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(site+1)),
+	}
+}
+
+func (s *shares) start(site int, now time.Time) {
+	s.life[site]++
+	for c := range customers {
+		k := &keeper{share: share.New(s.holder(site))}
+		k.share.SetRate(customerRate, customerBurst, now)
+		s.keepers[site][c] = k
+	}
+}
+
+func (s *shares) take(now time.Time, site, c int, cost float64, first bool) bool {
+	k := s.keepers[site][c]
+	if first {
+		k.share.Ask(cost, now)
+	}
+	if _, ok := k.share.Take(cost, now); ok {
+		return true
+	}
+	if now.Before(k.dry) {
+		return false
+	}
+	if version, _ := k.share.Version(); version == 0 {
+		s.reconcile(now, site, c)
+	}
+	s.pull(now, site, c, cost)
+	_, ok := k.share.Take(cost, now)
+	if !ok {
+		k.dry = now.Add(dryTime)
+	}
+	return ok
+}
+
+func (s *shares) pull(now time.Time, site, c int, cost float64) {
+	k := s.keepers[site][c]
+	peers := k.share.Peers()
+	slices.SortStableFunc(peers, func(a, b share.Holder) int { return cmp.Compare(b.Parts, a.Parts) })
+	if version, _ := k.share.Version(); version == 0 {
+		for other := range sites {
+			peers = append(peers, s.holder(other))
+		}
+	}
+	for _, h := range peers {
+		other := int(h.Address.Port()) - 1
+		lack := cost - k.share.Available(now)
+		if lack <= 0 || other == site || s.killed && other == 0 {
+			continue
+		}
+		s.counts.messages += 2
+		from := s.keepers[other][c].share
+		given := from.Give(s.holder(site), lack, k.share.Demand(now), now)
+		k.share.Receive(given, now.Add(-2*peerLatency), now)
+		if version, _ := from.Version(); version > 0 {
+			k.share.Observe(from.Row(), version, time.Time{}, now)
+		}
+	}
+}
+
+func (s *shares) tick(now time.Time) {
+	for site := range sites {
+		if s.killed && site == 0 {
+			continue
+		}
+		for c, k := range s.keepers[site] {
+			due := k.share.Parts() > 0 || k.share.Demand(now) > 0
+			if due && now.Sub(k.looked) >= reconcileTime {
+				k.looked = now
+				s.reconcile(now, site, c)
+			}
+		}
+	}
+}
+
+func (s *shares) reconcile(now time.Time, site, c int) {
+	k := s.keepers[site][c].share
+	if s.out {
+		return
+	}
+	_, read := k.Version()
+	if !read || k.Lacks(now) || now.Sub(k.ReadAt()) >= readTime {
+		s.read(now, k, c)
+	}
+	for range 3 {
+		p, ok := k.Propose(now)
+		if !ok {
+			return
+		}
+		s.counts.writes++
+		if p.Expect != s.versions[c] {
+			k.Swapped(share.NotWritten, 0, now)
+			s.read(now, k, c)
+			continue
+		}
+		s.versions[c]++
+		s.rows[c] = p.Row
+		k.Swapped(share.Written, s.versions[c], now)
+	}
+}
+
+func (s *shares) read(now time.Time, k *share.Share, c int) {
+	s.counts.reads++
+	row := s.rows[c]
+	row.Holders = slices.Clone(row.Holders)
+	k.Observe(row, s.versions[c], now, now)
+}
+
+func (s *shares) fault(now time.Time, storeOut, killed bool) {
+	s.out = storeOut
+	if s.killed && !killed {
+		s.start(0, now)
+	}
+	s.killed = killed
+}
+
+func (s *shares) counted() counted { return s.counts }
+
+// buckets returns a full bucket of a fraction for each customer.
+func buckets(fraction float64) (all [customers]bucket.Bucket) {
+	now := time.Unix(1000, 0)
+	for c := range all {
+		all[c].SetRate(customerRate, customerBurst, now)
+		all[c].SetFraction(fraction, now)
+		all[c].Fill(customerBurst, now)
+	}
+	return all
+}
+
+// static gives each site an equal part for ever. A restarted site cannot
+// know what its predecessor used and begins full.
+type static struct {
+	sites  [sites][customers]bucket.Bucket
+	killed bool
+}
+
+func newStatic() scheme {
+	s := &static{}
+	for i := range s.sites {
+		s.sites[i] = buckets(1.0 / sites)
+	}
+	return s
+}
+
+func (s *static) take(now time.Time, site, c int, cost float64, _ bool) bool {
+	_, ok := s.sites[site][c].Take(cost, now)
+	return ok
+}
+func (s *static) tick(time.Time) {}
+func (s *static) fault(_ time.Time, _, killed bool) {
+	if s.killed && !killed {
+		s.sites[0] = buckets(1.0 / sites)
+	}
+	s.killed = killed
+}
+func (s *static) counted() counted { return counted{} }
+
+// owner gives each customer to one site; the others ask it.
+type owner struct {
+	all       [customers]bucket.Bucket
+	owners    [customers]int
+	killedAt  time.Time
+	out, dead bool
+	counts    counted
+}
+
+func newOwner() scheme {
+	o := &owner{all: buckets(1)}
+	var names []string
+	for site := range sites {
+		names = append(names, fmt.Sprint(site))
+	}
+	for c := range customers {
+		name := rendezvous.First(fmt.Sprint("customer-", c), names)
+		o.owners[c] = slices.Index(names, name)
+	}
+	return o
+}
+
+func (o *owner) take(now time.Time, site, c int, cost float64, _ bool) bool {
+	if o.dead && o.owners[c] == 0 {
+		return false
+	}
+	if site != o.owners[c] {
+		o.counts.messages += 2
+	}
+	_, ok := o.all[c].Take(cost, now)
+	return ok
+}
+
+// tick lets the next site take over a dead owner's customers, with nothing
+// in their buckets, once its lease has run out.
+func (o *owner) tick(now time.Time) {
+	if !o.dead || o.out || now.Sub(o.killedAt) < takeoverTime {
+		return
+	}
+	for c := range customers {
+		if o.owners[c] == 0 {
+			o.counts.writes++
+			o.owners[c] = 1 + c%(sites-1)
+			o.all[c].Withdraw(customerBurst, now)
+		}
+	}
+}
+
+func (o *owner) fault(now time.Time, storeOut, killed bool) {
+	if killed && !o.dead {
+		o.killedAt = now
+	}
+	o.out = storeOut
+	o.dead = killed
+}
+func (o *owner) counted() counted { return o.counts }
+
+// counter keeps one bucket for each customer in the store.
+type counter struct {
+	all    [customers]bucket.Bucket
+	out    bool
+	counts counted
+}
+
+func newCounter() scheme { return &counter{all: buckets(1)} }
+
+func (s *counter) take(now time.Time, _, c int, cost float64, _ bool) bool {
+	if s.out {
+		return false
+	}
+	s.counts.reads++
+	_, ok := s.all[c].Take(cost, now)
+	if ok {
+		s.counts.writes++
+	}
+	return ok
+}
+func (s *counter) tick(time.Time)                      {}
+func (s *counter) fault(_ time.Time, storeOut, _ bool) { s.out = storeOut }
+func (s *counter) counted() counted                    { return s.counts }
