Hold a customer's share at one gateway of a region and pull from it

Cause: shares in proportion to noisy demands moved all the time (1.9 swaps a second for each customer), and tokens lay in shares whose new holder had not read the row. Now the share of a region stays at one gateway, moves when another's demand is three times as high, with its tokens and its lent tokens; rows travel with pulls; a loan is all or nothing unless several are needed.

--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -8,7 +8,7 @@
 
 // LoanLifetime is how long borrowed tokens may be used, counted from before
 // they were asked for.
-const LoanLifetime = 200 * time.Millisecond
+const LoanLifetime = 100 * time.Millisecond
 
 // loanHold is how long the lender counts them, by its own clock. The margin
 // is for clocks that differ in speed.
@@ -62,13 +62,6 @@
 	b.trim()
 }
 
-// Fill adds tokens that belong to the bucket's own capacity, up to it.
-func (b *Bucket) Fill(tokens float64, now time.Time) {
-	b.advance(now)
-	b.level = min(b.level+tokens, b.room())
-	b.trim()
-}
-
 // Reserve counts a part of the capacity as lent, for a fraction whose former
 // holder may have lent tokens that are still in use.
 func (b *Bucket) Reserve(fraction float64, now time.Time) {
@@ -83,6 +76,12 @@
 	return b.level + b.borrowed
 }
 
+// Borrowed returns the borrowed tokens that have not expired.
+func (b *Bucket) Borrowed(now time.Time) float64 {
+	b.advance(now)
+	return b.borrowed
+}
+
 // Level returns the own tokens.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.advance(now)
@@ -139,14 +138,25 @@
 	return lent
 }
 
-// Withdraw removes up to tokens of the bucket's own, to be moved together
-// with a part of its capacity, and returns how many it removed.
-func (b *Bucket) Withdraw(tokens float64, now time.Time) float64 {
+// Split removes a part, from zero to one, of the own tokens and of what is
+// counted as lent, to be moved together with that part of the capacity.
+func (b *Bucket) Split(part float64, now time.Time) (tokens, lent float64) {
 	b.advance(now)
-	tokens = max(0, min(tokens, b.level))
 	b.mark()
+	tokens = b.level * part
+	lent = b.lent() * part
 	b.level -= tokens
-	return tokens
+	b.lentNew *= 1 - part
+	b.lentOld *= 1 - part
+	return tokens, lent
+}
+
+// Join adds what another bucket split off, up to the capacity.
+func (b *Bucket) Join(tokens, lent float64, now time.Time) {
+	b.advance(now)
+	b.lend(lent, now)
+	b.level += tokens
+	b.trim()
 }
 
 // Borrow adds tokens of another bucket that expire at a time.
--- a/internal/limiter/customer.go
+++ b/internal/limiter/customer.go
@@ -24,6 +24,8 @@
 	share   *share.Share
 	waiters []*waiter
 	pulling bool
+	// lost is set when a holder could not be reached.
+	lost bool
 	// dryUntil is until when peers are not asked again.
 	dryUntil time.Time
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -28,6 +28,9 @@
 	// holderReadInterval is the time between two reads of a row in which
 	// this gateway holds a share.
 	holderReadInterval = 2 * time.Second
+	// otherReadInterval is the same for a gateway that holds none but has
+	// requests.
+	otherReadInterval = 4 * time.Second
 	// maxWait bounds the time that a request waits for tokens.
 	maxWait = 500 * time.Millisecond
 	// leastRetryAfter is the least advice of a refusal.
--- a/internal/limiter/reconcile.go
+++ b/internal/limiter/reconcile.go
@@ -17,22 +17,27 @@
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
 	now := cu.now()
+	cu.share.Usable(now)
 	if cu.share.Parts() > 0 || cu.share.Unsettled() {
 		return true
 	}
 	return cu.share.Demand(now) > 0 || len(cu.waiters) > 0
 }
 
-// readDue reports whether the row has to be read: often while this gateway
-// lacks tokens, rarely while it holds a share.
+// readDue reports whether the row has to be read. A gateway without a share
+// learns of moves from the answers to its pulls and reads rarely.
 func (cu *customer) readDue() bool {
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
-	now := cu.now()
-	if _, read := cu.share.Version(); !read || cu.share.Unsettled() || cu.share.Lacks(now) {
+	if _, read := cu.share.Version(); !read || cu.share.Unsettled() || cu.lost {
+		cu.lost = false
 		return true
 	}
-	return now.Sub(cu.share.ReadAt()) >= holderReadInterval
+	interval := otherReadInterval
+	if cu.share.Parts() > 0 {
+		interval = holderReadInterval
+	}
+	return cu.now().Sub(cu.share.ReadAt()) >= interval
 }
 
 // reconcile reads the row when that is due and swaps it when the share asks
--- a/internal/share/proposal.go
+++ b/internal/share/proposal.go
@@ -2,19 +2,19 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// moveInterval is the least time between two moves by one gateway.
-	moveInterval = time.Second
+	// moveInterval is the least time between two moves by one gateway that
+	// has demand of its own.
+	moveInterval = 5 * time.Second
 	// moveParts is the least worth moving, unless it is all there is.
-	moveParts = Whole / 20
-	// leastMoved is the least that one peer is given of a move; below it,
-	// the peer goes on pulling tokens.
-	leastMoved = Whole / 200
+	moveParts = Whole / 10
+	// leadFactor is by how much the demand of a peer in the own region must
+	// exceed the own before the share moves there.
+	leadFactor = 3
 	// idleDemand is the demand in tokens a second below which a gateway
 	// needs no share.
 	idleDemand = 0.5
@@ -34,6 +34,7 @@
 	before  int64
 	claimed int64
 	tokens  float64
+	lent    float64
 	at      time.Time
 }
 
@@ -97,7 +98,7 @@
 		return nil
 	}
 	p := &Proposal{keep: s.inUse}
-	p.Row.add(s.self, Whole, s.burst)
+	p.Row.add(s.self, Whole, s.burst, 0)
 	return p
 }
 
@@ -133,7 +134,7 @@
 	}
 	p := s.unchanged()
 	p.claimed = free
-	p.Row.add(s.self, free, 0)
+	p.Row.add(s.self, free, 0, 0)
 	return p
 }
 
@@ -174,7 +175,7 @@
 	p := s.unchanged()
 	p.claimed = h.Parts
 	p.Row.remove(h.Incarnation)
-	p.Row.add(s.self, h.Parts, 0)
+	p.Row.add(s.self, h.Parts, 0, 0)
 	return p
 }
 
@@ -182,102 +183,104 @@
 	return &Proposal{Row: s.row.clone(), keep: s.inUse}
 }
 
-// rebalance gives parts to peers that told their demand, so that the parts of
-// all of them and of this gateway follow the demands.
+// rebalance gives parts to peers that told their demand. Regions hold shares
+// in proportion to their demands; within a region one gateway holds the share,
+// the others pull tokens from it, and the share moves when another's demand is
+// clearly higher.
 func (s *Share) rebalance(now time.Time) *Proposal {
-	if s.inUse == 0 || now.Sub(s.movedAt) < moveInterval || !s.Usable(now) {
+	if s.inUse == 0 || len(s.wants) == 0 || !s.Usable(now) {
 		return nil
 	}
 	own := s.Demand(now)
 	if own < idleDemand {
 		own = 0
 	}
-	pool, demanded := s.inUse, own
-	for _, id := range slices.Sorted(maps.Keys(s.wants)) {
-		w := s.wants[id]
-		h, _ := s.row.Holder(id)
-		pool += h.Parts
-		demanded += w.demand
-	}
-	if demanded == own || demanded == 0 {
+	if own > 0 && now.Sub(s.movedAt) < moveInterval {
 		return nil
 	}
-	target := int64(float64(pool) * own / demanded)
-	surplus := s.inUse - max(target, s.leastKept(now))
-	if surplus < min(moveParts, s.inUse) {
-		return nil
-	}
-	return s.give(surplus, pool, demanded, now)
+	return s.give(s.lacking(own), now)
 }
 
-// leastKept returns the parts whose burst covers the tokens that are lent.
-func (s *Share) leastKept(now time.Time) int64 {
-	lent := s.bucket.Lent(now)
-	if lent == 0 || s.burst == 0 {
-		return 0
-	}
-	return min(s.inUse, int64(math.Ceil(lent/s.burst*Whole)))
+// region is the demand of a region and the gateway that should hold its
+// share.
+type region struct {
+	demand  float64
+	highest float64
+	leader  Holder
 }
 
-// give moves parts, with their part of the tokens, to the peers that lack
-// them most.
-func (s *Share) give(surplus, pool int64, demanded float64, now time.Time) *Proposal {
+// lacking returns what the leaders of the regions lack.
+func (s *Share) lacking(own float64) map[string]int64 {
+	regions := map[string]*region{s.self.Region: {demand: own, highest: own * leadFactor, leader: s.self}}
+	pool, demanded := s.inUse, own
+	for _, id := range slices.Sorted(maps.Keys(s.wants)) {
+		w := s.wants[id]
+		r, ok := regions[w.holder.Region]
+		if !ok {
+			r = &region{}
+			regions[w.holder.Region] = r
+		}
+		r.demand += w.demand
+		if w.demand > r.highest {
+			r.highest = w.demand
+			r.leader = w.holder
+		}
+		held, _ := s.row.Holder(id)
+		pool += held.Parts
+		demanded += w.demand
+	}
 	lacks := map[string]int64{}
-	var lacking int64
-	for id, w := range s.wants {
-		h, _ := s.row.Holder(id)
-		if lack := int64(float64(pool)*w.demand/demanded) - h.Parts; lack > 0 {
+	for _, r := range regions {
+		id := r.leader.Incarnation
+		held, _ := s.row.Holder(id)
+		lack := int64(float64(pool)*r.demand/demanded) - held.Parts
+		if id != s.self.Incarnation && lack >= min(moveParts, s.inUse) {
 			lacks[id] = lack
-			lacking += lack
 		}
 	}
-	if lacking == 0 {
-		return nil
-	}
-	p := s.unchanged()
-	moved := s.move(p, lacks, min(surplus, lacking), lacking, now)
-	if moved == 0 {
-		return nil
-	}
-	s.movedAt = now
-	return p
+	return lacks
 }
 
-// move gives the peers their proportion of surplus.
-func (s *Share) move(p *Proposal, lacks map[string]int64, surplus, lacking int64, now time.Time) int64 {
-	level := s.bucket.Level(now)
-	var moved int64
+// give moves parts, with their part of the tokens, to the peers that lack
+// them.
+func (s *Share) give(lacks map[string]int64, now time.Time) *Proposal {
+	p := s.unchanged()
 	for _, id := range slices.Sorted(maps.Keys(lacks)) {
-		parts := int64(math.Ceil(float64(surplus) * float64(lacks[id]) / float64(lacking)))
-		parts = min(parts, surplus-moved)
-		if parts < min(leastMoved, surplus) {
+		parts := min(lacks[id], p.keep)
+		if parts < min(moveParts, s.inUse) {
 			continue
 		}
-		tokens := s.bucket.Withdraw(level*float64(parts)/float64(s.inUse), now)
-		p.Row.add(s.wants[id].holder, parts, tokens)
-		p.tokens += tokens
-		moved += parts
+		s.split(p, s.wants[id].holder, parts, now)
+	}
+	if p.keep == s.inUse {
+		return nil
 	}
-	p.keep = s.inUse - moved
 	p.Row.setParts(s.self.Incarnation, p.keep)
-	return moved
+	s.movedAt = now
+	return p
+}
+
+// split moves parts with their tokens from this gateway to another in p.
+func (s *Share) split(p *Proposal, to Holder, parts int64, now time.Time) {
+	tokens, lent := s.bucket.Split(float64(parts)/float64(p.keep), now)
+	p.Row.add(to, parts, tokens, lent)
+	p.tokens += tokens
+	p.lent += lent
+	p.keep -= parts
 }
 
 // giveAll gives the whole share to the peer with the highest demand, or else
 // to the largest holder, or else to nobody.
 func (s *Share) giveAll(now time.Time) *Proposal {
-	mine, ok := s.row.Holder(s.self.Incarnation)
-	if !ok {
+	if _, ok := s.row.Holder(s.self.Incarnation); !ok {
 		return nil
 	}
 	p := s.unchanged()
+	if heir, found := s.heir(); found && p.keep > 0 {
+		s.split(p, heir, p.keep, now)
+	}
 	p.keep = 0
 	p.Row.remove(s.self.Incarnation)
-	heir, found := s.heir()
-	if found && s.bucket.Lent(now) == 0 {
-		p.tokens = s.bucket.Withdraw(s.bucket.Level(now), now)
-		p.Row.add(heir, mine.Parts, p.tokens)
-	}
 	return p
 }
 
@@ -335,5 +338,5 @@
 		s.use(p.before, now)
 	}
 	lost := s.bucket.Refill() * now.Sub(p.at).Seconds()
-	s.bucket.Fill(max(0, p.tokens-lost), now)
+	s.bucket.Join(max(0, p.tokens-lost), p.lent, now)
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -9,7 +9,9 @@
 package share
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"fireflypier.example/fireflypier/internal/bucket"
@@ -46,12 +48,14 @@
 	read    bool
 	readAt  time.Time
 	// proved is when the share was last known to be the gateway's own.
-	proved    time.Time
-	received  float64
-	pending   *Proposal
-	uncertain bool
-	markedAt  time.Time
-	movedAt   time.Time
+	proved   time.Time
+	received float64
+	// receivedLent belongs to received.
+	receivedLent float64
+	pending      *Proposal
+	uncertain    bool
+	markedAt     time.Time
+	movedAt      time.Time
 
 	demand  demand
 	wants   map[string]want
@@ -93,9 +97,10 @@
 // Ask counts tokens that a request asks for towards the demand.
 func (s *Share) Ask(tokens float64, now time.Time) { s.demand.add(tokens, now) }
 
-// Take charges a request; ok is false when the tokens are not there.
+// Take charges a request; ok is false when the tokens are not there. While the
+// share is not usable, only borrowed tokens count.
 func (s *Share) Take(tokens float64, now time.Time) (c bucket.Charge, ok bool) {
-	if !s.Usable(now) {
+	if s.Available(now) < tokens {
 		return bucket.Charge{}, false
 	}
 	return s.bucket.Take(tokens, now)
@@ -109,7 +114,7 @@
 // Available returns the tokens that a request can take.
 func (s *Share) Available(now time.Time) float64 {
 	if !s.Usable(now) {
-		return 0
+		return s.bucket.Borrowed(now)
 	}
 	return s.bucket.Available(now)
 }
@@ -129,13 +134,19 @@
 	return true
 }
 
-// Give answers a peer that lacks tokens and tells its demand.
-func (s *Share) Give(to Holder, tokens, demanded float64, now time.Time) (given float64) {
+// Give answers a peer that lacks tokens and tells its demand. It lends all
+// that the peer lacks or nothing, unless the peer takes a part; available
+// tells what was there.
+func (s *Share) Give(to Holder, tokens, demanded float64, partial bool, now time.Time) (given, available float64) {
 	s.wants[to.Incarnation] = want{holder: to, demand: demanded, told: now}
 	if !s.Usable(now) {
-		return 0
+		return 0, 0
 	}
-	return s.bucket.Lend(tokens, now)
+	available = s.bucket.Level(now)
+	if available < tokens && !partial {
+		return 0, available
+	}
+	return s.bucket.Lend(tokens, now), available
 }
 
 // Receive adds the tokens of a peer's answer to a question. asked is a time
@@ -180,10 +191,9 @@
 	if gained > 0 && claimed {
 		s.bucket.Reserve(fractionOf(gained), now)
 	}
-	if mine.Received > s.received {
-		s.bucket.Fill(mine.Received-s.received, now)
-	}
+	s.bucket.Join(max(0, mine.Received-s.received), max(0, mine.Lent-s.receivedLent), now)
 	s.received = mine.Received
+	s.receivedLent = mine.Lent
 }
 
 // use sets the parts that the gateway uses.
@@ -242,15 +252,11 @@
 // Unsettled reports whether the outcome of a swap is not known yet.
 func (s *Share) Unsettled() bool { return s.pending != nil }
 
-// Lacks reports whether requests ask for more here than the share yields.
-func (s *Share) Lacks(now time.Time) bool {
-	return s.wanted(now) && s.Demand(now) > s.bucket.Refill()
-}
-
 // ReadAt returns when the last read of the row began.
 func (s *Share) ReadAt() time.Time { return s.readAt }
 
-// Peers returns the other holders.
+// Peers returns the other holders: those of the own region first, and of these
+// the largest.
 func (s *Share) Peers() []Holder {
 	peers := make([]Holder, 0, len(s.row.Holders))
 	for _, h := range s.row.Holders {
@@ -258,9 +264,19 @@
 			peers = append(peers, h)
 		}
 	}
+	slices.SortStableFunc(peers, func(a, b Holder) int {
+		return cmp.Or(s.distance(&a)-s.distance(&b), cmp.Compare(b.Parts, a.Parts))
+	})
 	return peers
 }
 
+func (s *Share) distance(h *Holder) int {
+	if h.Region == s.self.Region {
+		return 0
+	}
+	return 1
+}
+
 // Row returns the newest known row.
 func (s *Share) Row() Row { return s.row.clone() }
 
