Hold a region's share at up to three gateways

Cause: with one holder, its kill or freeze left the customer nothing; three specs of tests/rates_test.go saw no progress while the holder was away.

--- a/internal/share/compare_test.go
+++ b/internal/share/compare_test.go
@@ -62,7 +62,8 @@
 	{name: "moving", at: moving},
 	{name: "one at five times", at: anywhere, fivefold: true},
 	{name: "store out, moving", at: moving, storeOut: true},
-	{name: "gateway killed", at: atOne, killed: true},
+	{name: "gateway killed, skewed", at: atOne, killed: true},
+	{name: "gateway killed, even", at: anywhere, killed: true},
 }
 
 // reference measures by how much a scheme exceeds the bound: it is negative
--- a/internal/share/proposal.go
+++ b/internal/share/proposal.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -12,8 +13,10 @@
 	moveInterval = 5 * time.Second
 	// moveParts is the least worth moving, unless it is all there is.
 	moveParts = Whole / 10
-	// leadFactor is by how much the demand of a peer in the own region must
-	// exceed the own before the share moves there.
+	// regionHolders is the number of gateways that hold a region's share.
+	regionHolders = 3
+	// leadFactor is by how much a demand must exceed that of a holder before
+	// the share moves there.
 	leadFactor = 3
 	// idleDemand is the demand in tokens a second below which a gateway
 	// needs no share.
@@ -198,9 +201,8 @@
 }
 
 // rebalance gives parts to peers that told their demand. Regions hold shares
-// in proportion to their demands; within a region one gateway holds the share,
-// the others pull tokens from it, and the share moves when another's demand is
-// clearly higher.
+// in proportion to their demands; within a region a few gateways hold the
+// share and the others pull tokens from them.
 func (s *Share) rebalance(now time.Time) *Proposal {
 	if s.inUse == 0 || len(s.wants) == 0 || !s.Usable(now) {
 		return nil
@@ -215,46 +217,93 @@
 	return s.give(s.lacking(own), now)
 }
 
-// region is the demand of a region and the gateway that should hold its
-// share.
+// candidate is a gateway that may hold a part of its region's share.
+type candidate struct {
+	holder Holder
+	held   int64
+	weight float64
+}
+
+// region is the demand of a region and who may hold its share.
 type region struct {
-	demand  float64
-	highest float64
-	leader  Holder
+	demand     float64
+	candidates []candidate
 }
 
-// lacking returns what the leaders of the regions lack.
+// lacking returns what the gateways that should hold shares lack: in each
+// region the few with the highest demand, in equal parts, so that the loss of
+// one leaves the others their parts.
 func (s *Share) lacking(own float64) map[string]int64 {
-	regions := map[string]*region{s.self.Region: {demand: own, highest: own * leadFactor, leader: s.self}}
-	pool, demanded := s.inUse, own
-	for _, id := range slices.Sorted(maps.Keys(s.wants)) {
-		w := s.wants[id]
-		r, ok := regions[w.holder.Region]
-		if !ok {
-			r = &region{}
-			regions[w.holder.Region] = r
-		}
-		r.demand += w.demand
-		if w.demand > r.highest {
-			r.highest = w.demand
-			r.leader = w.holder
+	regions := s.regions(own)
+	pool, demanded := s.inUse, 0.0
+	for name, r := range regions {
+		r.choose(s.slots(name))
+		demanded += r.demand
+		for _, c := range r.candidates {
+			if c.holder.Incarnation != s.self.Incarnation {
+				pool += c.held
+			}
 		}
-		held, _ := s.row.Holder(id)
-		pool += held.Parts
-		demanded += w.demand
 	}
 	lacks := map[string]int64{}
 	for _, r := range regions {
-		id := r.leader.Incarnation
-		held, _ := s.row.Holder(id)
-		lack := int64(float64(pool)*r.demand/demanded) - held.Parts
-		if id != s.self.Incarnation && lack >= min(moveParts, s.inUse) {
-			lacks[id] = lack
+		for _, c := range r.candidates {
+			target := float64(pool) * r.demand / demanded / float64(len(r.candidates))
+			lack := int64(target) - c.held
+			if c.holder.Incarnation != s.self.Incarnation && lack >= min(moveParts, s.inUse) {
+				lacks[c.holder.Incarnation] = lack
+			}
 		}
 	}
 	return lacks
 }
 
+// regions sorts the known demands by region. Present holders count more, so
+// that shares do not follow noise.
+func (s *Share) regions(own float64) map[string]*region {
+	regions := map[string]*region{}
+	add := func(h Holder, held int64, demanded float64) {
+		if demanded == 0 {
+			return
+		}
+		r, ok := regions[h.Region]
+		if !ok {
+			r = &region{}
+			regions[h.Region] = r
+		}
+		r.demand += demanded
+		weight := demanded
+		if held > 0 {
+			weight *= leadFactor
+		}
+		r.candidates = append(r.candidates, candidate{h, held, weight})
+	}
+	add(s.self, s.inUse, own)
+	for _, id := range slices.Sorted(maps.Keys(s.wants)) {
+		h, _ := s.row.Holder(id)
+		add(s.wants[id].holder, h.Parts, s.wants[id].demand)
+	}
+	return regions
+}
+
+// choose leaves the candidates of highest weight.
+func (r *region) choose(n int) {
+	slices.SortStableFunc(r.candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	r.candidates = r.candidates[:min(n, len(r.candidates))]
+}
+
+// slots returns how many of a region's gateways with known demand should hold
+// shares, beside its holders whose demand is not known.
+func (s *Share) slots(name string) int {
+	others := 0
+	for _, h := range s.Peers() {
+		if _, asked := s.wants[h.Incarnation]; !asked && h.Region == name {
+			others++
+		}
+	}
+	return max(1, regionHolders-others)
+}
+
 // give moves parts, with their part of the tokens, to the peers that lack
 // them.
 func (s *Share) give(lacks map[string]int64, now time.Time) *Proposal {
--- a/tests/rates_test.go
+++ b/tests/rates_test.go
@@ -20,7 +20,9 @@
 	"fireflypier.example/fireflypier/internal/object"
 	"fireflypier.example/fireflypier/internal/revision"
 	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/share"
 	"fireflypier.example/fireflypier/internal/standin/plainservice"
+	"fireflypier.example/fireflypier/internal/table"
 )
 
 const (
@@ -190,6 +192,7 @@
 		h := f.hammer(ctx)
 		for range 2 {
 			h.more(ctx, 40)
+			f.waitForHolders(ctx)
 			f.gateways[0].Kill()
 			h.more(ctx, 10)
 			f.restart(ctx, 0)
@@ -203,6 +206,7 @@
 		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		h.more(ctx, 40)
+		f.waitForHolders(ctx)
 		Expect(f.gateways[1].Freeze()).To(Succeed())
 		h.more(ctx, 30)
 		Expect(f.gateways[1].Thaw()).To(Succeed())
@@ -215,6 +219,7 @@
 		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		h.more(ctx, 40)
+		f.waitForHolders(ctx)
 		f.cut(2, faultproxy.Fault{Refuse: true})
 		h.more(ctx, 30)
 		f.cut(2, faultproxy.Fault{})
@@ -230,6 +235,7 @@
 		f := startMeteredFleet(ctx)
 		h := f.hammer(ctx)
 		h.more(ctx, 40)
+		f.waitForHolders(ctx)
 		for i := range f.platforms {
 			f.platforms[i].SetFault(faultproxy.Fault{Refuse: true})
 			f.platforms[i].CutAll()
@@ -263,6 +269,22 @@
 	})
 })
 
+// waitForHolders waits until more than one gateway holds a share.
+func (f *meteredFleet) waitForHolders(ctx context.Context) {
+	Expect(fleet.Eventually(ctx, func() error {
+		a := send(ctx, http.MethodGet, f.platform.Addr, "/table/row?key=share/metered", "", "", nil)
+		var row table.Row
+		if err := json.Unmarshal([]byte(a.body), &row); err != nil {
+			return err
+		}
+		shares, err := share.DecodeRow(row.Value)
+		if err == nil && len(shares.Holders) < 2 {
+			err = errors.New("one gateway holds the whole share")
+		}
+		return err
+	})).To(Succeed())
+}
+
 // waitForRevision waits until every gateway has the newest configuration.
 func (f *meteredFleet) waitForRevision(ctx context.Context) {
 	current, err := f.operator.Snapshot(ctx)
