--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,6 @@
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/feed"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
-	"fireflypier.example/fireflypier/internal/follower"
 	"fireflypier.example/fireflypier/internal/limiter"
 	"fireflypier.example/fireflypier/internal/listener"
 	"fireflypier.example/fireflypier/internal/member"
@@ -36,7 +35,7 @@
 	"fireflypier.example/fireflypier/internal/peer"
 	"fireflypier.example/fireflypier/internal/plainroute"
 	"fireflypier.example/fireflypier/internal/platform"
-	"fireflypier.example/fireflypier/internal/publication"
+	"fireflypier.example/fireflypier/internal/replica"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
 	"fireflypier.example/fireflypier/internal/share/sharepb"
@@ -49,8 +48,8 @@
 	logger hclog.Logger
 
 	platform   *platform.Client
+	replica    *replica.Replica
 	adoption   *adoption.Adoption
-	follower   *follower.Follower
 	membership *membership.Membership
 	views      *engineview.Views
 	entry      *entryPoint
@@ -80,16 +79,20 @@
 		clock:  clockwork.NewRealClock(),
 		logger: hclog.NewNullLogger(),
 		views:  engineview.New(),
-		dialer: peer.NewDialer(),
+		dialer: peer.NewDialer(peer.WithSource(cfg.PeerListen.Addr())),
 		done:   make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
 	g.platform = platform.New(cfg.Platform)
-	g.adoption = adoption.New(g.clock, cfg.FreshnessBound)
-	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
-	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
+	g.replica = replica.New(replica.Parts{
+		Self: g.self(), Bound: cfg.FreshnessBound, Seeds: cfg.SeedPeers,
+		Table: g.platform, Objects: g.platform.Objects(),
+		Dialer: g.dialer, Clock: g.clock, Logger: g.logger,
+	})
+	g.adoption = g.replica.Adoption()
+	g.membership = g.replica.Membership()
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
 	g.limiter = g.newLimiter()
 	if err := g.listen(); err != nil {
@@ -110,6 +113,9 @@
 		return errors.Wrap(err, "serve shares")
 	}
 	registry.MustRegister(g.limiter.Collectors()...)
+	if err := g.replica.Serve(g.peers.Mux()); err != nil {
+		return err
+	}
 	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
 	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
 	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
@@ -176,6 +182,7 @@
 		Address:     g.cfg.Address,
 		PeerAddress: g.cfg.PeerAddress,
 		State:       member.Live,
+		Started:     g.clock.Now(),
 	}
 }
 
@@ -208,8 +215,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	wg.Go(func() { g.follower.Run(background) })
-	wg.Go(func() { g.membership.Run(background) })
+	wg.Go(func() { g.replica.Run(background) })
 	wg.Go(func() { g.limiter.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
