--- a/internal/limiter/pull.go
+++ b/internal/limiter/pull.go
@@ -1,10 +1,8 @@
 package limiter
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"fireflypier.example/fireflypier/internal/bucket"
@@ -57,21 +55,31 @@
 	return version > 0
 }
 
-// round asks the peers one after another and returns what still lacks.
+// round asks the peers one after another and returns what still lacks. First
+// each is asked for all of it; only when none has all, but all have enough
+// together, is each asked for a part.
 func (cu *customer) round(ctx context.Context) (lack float64) {
+	peers := cu.peers()
 	lack = cu.admit()
-	for _, h := range cu.peers() {
+	available := 0.0
+	for i := range peers {
 		if lack == 0 || ctx.Err() != nil {
 			return lack
 		}
-		cu.pullFrom(ctx, &h, lack)
+		available += cu.pullFrom(ctx, &peers[i], lack, false)
+		lack = cu.admit()
+	}
+	for i := range peers {
+		if lack == 0 || available < lack || ctx.Err() != nil {
+			return lack
+		}
+		cu.pullFrom(ctx, &peers[i], lack, true)
 		lack = cu.admit()
 	}
 	return lack
 }
 
-// peers returns whom to ask: the holders, largest share first, or any gateway
-// while no row is known.
+// peers returns whom to ask: the holders, or any gateway while no row is known.
 func (cu *customer) peers() []share.Holder {
 	cu.mu.Lock()
 	peers := cu.share.Peers()
@@ -80,21 +88,22 @@
 	if version == 0 {
 		peers = cu.limiter.parts.Gateways(cu.name)
 	}
-	slices.SortStableFunc(peers, func(a, b share.Holder) int { return cmp.Compare(b.Parts, a.Parts) })
 	return peers[:min(len(peers), pullPeers)]
 }
 
-// pullFrom asks one peer. The time counts from before the question.
-func (cu *customer) pullFrom(ctx context.Context, h *share.Holder, tokens float64) {
+// pullFrom asks one peer and returns the tokens that it has left. The time
+// counts from before the question.
+func (cu *customer) pullFrom(ctx context.Context, h *share.Holder, tokens float64, partial bool) (available float64) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	cu.limiter.counts.pulls.Inc()
 	asked := cu.now()
-	reply, err := cu.limiter.parts.Peers.Pull(ctx, h, cu.question(tokens))
+	reply, err := cu.limiter.parts.Peers.Pull(ctx, h, cu.question(tokens, partial))
 	if err != nil {
+		cu.setLost()
 		cu.limiter.counts.pullErrors.Inc()
 		cu.limiter.parts.Logger.Debug("tokens not pulled", "customer", cu.name, "peer", h.Name, "error", err)
-		return
+		return 0
 	}
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
@@ -104,17 +113,41 @@
 	if reply.GetRowVersion() > 0 {
 		cu.observe(reply.GetRow(), reply.GetRowVersion(), time.Time{})
 	}
+	return reply.GetAvailable() - reply.GetTokens()
 }
 
-func (cu *customer) question(tokens float64) *sharepb.PullRequest {
+func (cu *customer) setLost() {
+	cu.mu.Lock()
+	defer cu.mu.Unlock()
+	cu.lost = true
+}
+
+func (cu *customer) question(tokens float64, partial bool) *sharepb.PullRequest {
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
 	self := &cu.limiter.parts.Self
-	return &sharepb.PullRequest{
-		Customer: cu.name, Tokens: tokens, Demand: cu.share.Demand(cu.now()),
+	req := &sharepb.PullRequest{
+		Customer: cu.name, Tokens: tokens, Partial: partial, Demand: cu.share.Demand(cu.now()),
 		Gateway: self.Name, Incarnation: self.Incarnation,
 		Address: self.Address.String(), Region: self.Region,
 	}
+	req.Row, req.RowVersion = cu.encodedRow()
+	return req
+}
+
+// encodedRow returns the newest known row and its version, zero when there is
+// none. The mutex is held.
+func (cu *customer) encodedRow() (value []byte, version int64) {
+	version, _ = cu.share.Version()
+	if version == 0 {
+		return nil, 0
+	}
+	row := cu.share.Row()
+	value, err := row.Encode()
+	if err != nil {
+		return nil, 0
+	}
+	return value, version
 }
 
 // observe takes in a row. The mutex is held.
@@ -167,26 +200,23 @@
 	return cu.give(share.Holder{
 		Name: req.GetGateway(), Incarnation: req.GetIncarnation(),
 		Address: address, Region: req.GetRegion(),
-	}, req.GetTokens(), req.GetDemand())
+	}, req), nil
 }
 
 // give debits tokens for a peer, none while own requests wait.
-func (cu *customer) give(to share.Holder, tokens, demand float64) (*sharepb.PullReply, error) {
+func (cu *customer) give(to share.Holder, req *sharepb.PullRequest) *sharepb.PullReply {
 	cu.mu.Lock()
 	defer cu.mu.Unlock()
+	if req.GetRowVersion() > 0 {
+		cu.observe(req.GetRow(), req.GetRowVersion(), time.Time{})
+	}
+	tokens := req.GetTokens()
 	if len(cu.waiters) > 0 || cu.limiter.parts.Fresh() != nil {
 		tokens = 0
 	}
 	reply := &sharepb.PullReply{}
-	reply.Tokens = cu.share.Give(to, tokens, demand, cu.now())
+	reply.Tokens, reply.Available = cu.share.Give(to, tokens, req.GetDemand(), req.GetPartial(), cu.now())
 	cu.limiter.counts.given.Add(reply.GetTokens())
-	row := cu.share.Row()
-	version, _ := cu.share.Version()
-	if version == 0 {
-		return reply, nil
-	}
-	var err error
-	reply.Row, err = row.Encode()
-	reply.RowVersion = version
-	return reply, err
+	reply.Row, reply.RowVersion = cu.encodedRow()
+	return reply
 }
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -6,7 +6,7 @@
 	// demandInterval is the length of one sample of the demand.
 	demandInterval = 250 * time.Millisecond
 	// demandWeight is the weight of a new sample.
-	demandWeight = 0.4
+	demandWeight = 0.15
 	// wantLifetime is how long a peer's demand counts after it was told.
 	wantLifetime = 2 * time.Second
 )
