--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -4,9 +4,9 @@
 package faultproxy
 
 import (
-	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +19,8 @@
 type Fault struct {
 	// Refuse closes every new connection at once.
 	Refuse bool
+	// RefuseFrom closes every new connection from these addresses at once.
+	RefuseFrom []netip.Addr
 	// Freeze holds every byte back, both ways, until the fault is lifted.
 	Freeze bool
 	// Delay holds each piece of data back.
@@ -28,6 +30,13 @@
 	// CutAnswersAfter cuts a connection after that many bytes from the
 	// server; zero cuts none.
 	CutAnswersAfter int64
+	// CutTimes is the number of connections to cut; zero cuts all.
+	CutTimes int
+	// HoldAnswers holds back what the server sends until the fault is lifted.
+	HoldAnswers bool
+	// Only limits the faults to connections on which the client has sent this
+	// text, for instance a path.
+	Only string
 }
 
 // Proxy carries connections to one server. Its methods may be called at the
@@ -41,6 +50,7 @@
 	fault   Fault
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	held    int
 }
 
 // Start returns a running proxy for server on a free loopback port.
@@ -111,7 +121,7 @@
 
 func (p *Proxy) carry(client net.Conn) {
 	defer func() { _ = client.Close() }()
-	if fault, _ := p.current(); fault.Refuse {
+	if p.refuses(client) {
 		return
 	}
 	server, err := net.Dial("tcp", p.server.String())
@@ -122,18 +132,25 @@
 	p.remember(client, server)
 	defer p.forget(client, server)
 	ended := make(chan struct{})
+	l := &link{proxy: p}
 	go func() {
 		defer close(ended)
-		p.copy(client, server, true)
+		l.copyAnswers(client, server)
 		_ = client.Close()
 	}()
-	p.copy(server, client, false)
+	l.copyRequests(server, client)
 	if c, ok := server.(*net.TCPConn); ok {
 		_ = c.CloseWrite()
 	}
 	<-ended
 }
 
+func (p *Proxy) refuses(client net.Conn) bool {
+	fault, _ := p.current()
+	addr, ok := client.RemoteAddr().(*net.TCPAddr)
+	return fault.Refuse || ok && slices.Contains(fault.RefuseFrom, addr.AddrPort().Addr().Unmap())
+}
+
 func (p *Proxy) remember(conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -156,39 +173,29 @@
 	return p.fault, p.changed
 }
 
-// copy carries data one way; answers tells the server's way.
-func (p *Proxy) copy(to io.Writer, from io.Reader, answers bool) {
-	buffer := make([]byte, copyBufferBytes)
-	var carried int64
-	for {
-		n, err := from.Read(buffer)
-		data := buffer[:n]
-		fault := p.wait()
-		if answers && fault.CutAnswersAfter > 0 && carried+int64(n) > fault.CutAnswersAfter {
-			_, _ = to.Write(data[:max(0, fault.CutAnswersAfter-carried)])
-			return
-		}
-		if answers && fault.DropAnswers {
-			data = nil
-		}
-		carried += int64(len(data))
-		if _, werr := to.Write(data); werr != nil || err != nil {
-			return
-		}
-	}
+// Held returns the number of pieces of data that are held back and contain
+// the fault's Only.
+func (p *Proxy) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
 }
 
-// wait holds data back while the proxy is frozen, and for its delay.
-func (p *Proxy) wait() Fault {
-	for {
-		fault, changed := p.current()
-		if fault.Freeze {
-			<-changed
-			continue
-		}
-		if fault.Delay > 0 {
-			time.Sleep(fault.Delay)
-		}
-		return fault
+func (p *Proxy) hold(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held += n
+}
+
+// cut counts one cut connection; the last one ends the fault.
+func (p *Proxy) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault.CutTimes == 0 {
+		return
+	}
+	p.fault.CutTimes--
+	if p.fault.CutTimes == 0 {
+		p.fault.CutAnswersAfter = 0
 	}
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/member"
 	"fireflypier.example/fireflypier/internal/share"
@@ -14,22 +15,28 @@
 	return struct {
 		Self          member.Member          `json:"self"`
 		Revision      int64                  `json:"revision"`
+		MemberVersion int64                  `json:"member_version"`
 		Digest        string                 `json:"digest"`
 		Vouched       bool                   `json:"vouched"`
 		VouchedAge    time.Duration          `json:"vouched_age"`
 		Members       []member.Member        `json:"members"`
 		Shares        map[string]share.State `json:"shares"`
 		EngineViews   []engineview.View      `json:"engine_views"`
+		Claims        claim.State            `json:"claims"`
+		Ejected       []string               `json:"ejected_targets"`
 		CallerAddress string                 `json:"caller_address"`
 	}{
 		Self:          g.membership.Self(),
 		Revision:      g.adoption.Current().Revision(),
+		MemberVersion: g.adoption.Members().Version,
 		Digest:        g.adoption.Current().Digest(),
 		Vouched:       vouched,
 		VouchedAge:    age,
 		Members:       g.membership.All(),
 		Shares:        g.limiter.Shares(),
 		EngineViews:   g.views.All(),
+		Claims:        g.claims.State(),
+		Ejected:       g.ejected.All(),
 		CallerAddress: g.Addr().String(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,14 +21,15 @@
 	"fireflypier.example/fireflypier/internal/adoption"
 	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/callerapi"
+	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/demandmeter"
 	"fireflypier.example/fireflypier/internal/dispatch"
+	"fireflypier.example/fireflypier/internal/ejection"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/feed"
 	"fireflypier.example/fireflypier/internal/feed/feedpb"
-	"fireflypier.example/fireflypier/internal/follower"
 	"fireflypier.example/fireflypier/internal/limiter"
 	"fireflypier.example/fireflypier/internal/listener"
 	"fireflypier.example/fireflypier/internal/member"
@@ -37,7 +38,8 @@
 	"fireflypier.example/fireflypier/internal/peer"
 	"fireflypier.example/fireflypier/internal/plainroute"
 	"fireflypier.example/fireflypier/internal/platform"
-	"fireflypier.example/fireflypier/internal/publication"
+	"fireflypier.example/fireflypier/internal/replica"
+	"fireflypier.example/fireflypier/internal/retry"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
 	"fireflypier.example/fireflypier/internal/share/sharepb"
@@ -50,9 +52,11 @@
 	logger hclog.Logger
 
 	platform   *platform.Client
+	replica    *replica.Replica
 	adoption   *adoption.Adoption
-	follower   *follower.Follower
 	membership *membership.Membership
+	claims     *claim.Claims
+	ejected    *ejection.Ejection
 	views      *engineview.Views
 	entry      *entryPoint
 	leaving    atomic.Bool
@@ -82,28 +86,35 @@
 		clock:  clockwork.NewRealClock(),
 		logger: hclog.NewNullLogger(),
 		views:  engineview.New(),
-		dialer: peer.NewDialer(),
+		dialer: peer.NewDialer(peer.WithSource(cfg.PeerListen.Addr())),
 		done:   make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
 	g.platform = platform.New(cfg.Platform)
-	g.adoption = adoption.New(g.clock, cfg.FreshnessBound)
-	g.follower = follower.New(publication.New(g.platform, g.platform.Objects(), g.clock), g.adoption, g.clock, g.logger)
-	g.membership = membership.New(g.self(), g.platform, g.clock, g.logger)
+	registry := prometheus.NewRegistry()
+	g.ejected = ejection.New(g.clock)
+	self := g.self()
+	g.replica = replica.New(replica.Parts{
+		Self: self, Bound: cfg.FreshnessBound, Seeds: cfg.SeedPeers,
+		Table: g.platform, Objects: g.platform.Objects(),
+		Dialer: g.dialer, Clock: g.clock, Logger: g.logger,
+	})
+	g.adoption = g.replica.Adoption()
+	g.membership = g.replica.Membership()
+	g.claims = g.newClaims(self, registry)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
 	g.meter = demandmeter.New(cfg.Name, g.dialer, g.planners, g.clock, g.logger)
 	g.limiter = g.newLimiter()
-	if err := g.listen(); err != nil {
+	if err := g.listen(registry); err != nil {
 		return nil, err
 	}
 	g.subscriber = feed.NewSubscriber(cfg.Name, g.dialer, g.controllers, g.deliver, g.clock, g.logger)
 	return g, nil
 }
 
-func (g *Gateway) listen() error {
-	registry := prometheus.NewRegistry()
+func (g *Gateway) listen(registry *prometheus.Registry) error {
 	var err error
 	g.peers, err = peer.Listen(g.cfg.PeerListen, g.logger)
 	if err != nil {
@@ -113,7 +124,10 @@
 		return errors.Wrap(err, "serve shares")
 	}
 	registry.MustRegister(g.limiter.Collectors()...)
-	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
+	if err := g.replica.Serve(g.peers.Mux()); err != nil {
+		return err
+	}
+	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI(registry).Handler()), g.clock)
 	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
 	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
 	g.callers, err = listener.Listen(g.cfg.Listen, handler,
@@ -127,14 +141,20 @@
 	return err
 }
 
-func (g *Gateway) callerAPI() *callerapi.API {
+func (g *Gateway) callerAPI(registry *prometheus.Registry) *callerapi.API {
 	admit := admission.New(g.adoption)
 	g.adoption.OnChange(g.limiter.SetCatalog)
+	budget := retry.NewBudget(g.clock)
+	cfg := &g.cfg.Requests
 	plain := plainroute.New(plainroute.Parts{
-		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter, Leaving: g.views.Leaving,
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter,
+		Claims: g.claims, Budget: budget, Ejection: g.ejected, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
-		WriteError: callerapi.WriteError,
+		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
+		MaxRecordedBytes: cfg.MaxRecordedBytes, WriteError: callerapi.WriteError,
 	})
+	engines := engine.NewClient(engine.WithClock(g.clock),
+		engine.WithFrameTimeouts(cfg.FirstFrameTimeout, cfg.FrameTimeout))
 	return callerapi.New(callerapi.Parts{
 		Clock:  g.clock,
 		Logger: g.logger,
@@ -144,12 +164,16 @@
 			RequestTimeout:   g.cfg.RequestTimeout,
 			DefaultMaxTokens: g.cfg.DefaultMaxTokens,
 			EntryTTL:         g.cfg.EntryTTL,
+			WriteTimeout:     cfg.WriteTimeout,
+			MaxRecordedBytes: cfg.MaxRecordedBytes,
 		},
+		Claims:    g.claims,
 		Admission: admit,
 		Limiter:   g.limiter,
-		Dispatch:  dispatch.New(engine.NewClient(), g.schedule(), g.logger),
-		Plain:     plain,
-		Entry:     g.entry,
+		Dispatch: dispatch.New(engines, g.schedule(), g.logger, dispatch.WithClock(g.clock),
+			dispatch.WithRetries(budget, g.ejected), dispatch.WithMetrics(registry)),
+		Plain: plain,
+		Entry: g.entry,
 	})
 }
 
@@ -180,6 +204,7 @@
 		Address:     g.cfg.Address,
 		PeerAddress: g.cfg.PeerAddress,
 		State:       member.Live,
+		Started:     g.clock.Now(),
 	}
 }
 
@@ -215,11 +240,11 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	wg.Go(func() { g.follower.Run(background) })
-	wg.Go(func() { g.membership.Run(background) })
+	wg.Go(func() { g.replica.Run(background) })
 	wg.Go(func() { g.limiter.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
 	wg.Go(func() { g.meter.Run(background) })
+	wg.Go(func() { g.claims.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
 	wg.Go(func() { g.logError("admin", g.admin.Run()) })
 	wg.Go(func() { g.logError("callers", g.callers.Run()) })
--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -22,13 +22,27 @@
 // Dialer keeps connections to other processes. Close it when it is no longer
 // needed.
 type Dialer struct {
-	pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
-	dialer net.Dialer
+	pool    *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	dialer  net.Dialer
+	traffic traffic
+}
+
+// Option changes a Dialer under construction.
+type Option func(*Dialer)
+
+// WithSource makes the dialer connect from an address of this VM, the one
+// that others know it by. An unspecified address changes nothing.
+func WithSource(addr netip.Addr) Option {
+	return func(d *Dialer) {
+		if addr.IsValid() && !addr.IsUnspecified() {
+			d.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(addr, 0))
+		}
+	}
 }
 
 // NewDialer returns a dialer without connections.
-func NewDialer() *Dialer {
-	return &Dialer{
+func NewDialer(opts ...Option) *Dialer {
+	d := &Dialer{
 		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
 			Expiration:  idleExpiration,
 			Capacity:    connectionsInAll,
@@ -36,6 +50,10 @@
 		}),
 		dialer: net.Dialer{Timeout: dialTimeout},
 	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // Conn returns a connection to addr. It connects at the first call and gives
@@ -49,7 +67,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.New(countedConn{conn, &d.traffic}), nil
 }
 
 // Close closes the idle connections.
--- a/internal/share/proposal.go
+++ b/internal/share/proposal.go
@@ -1,20 +1,23 @@
 package share
 
 import (
+	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// moveInterval is the least time between two moves by one gateway.
-	moveInterval = time.Second
+	// moveInterval is the least time between two moves by one gateway that
+	// has demand of its own.
+	moveInterval = 5 * time.Second
 	// moveParts is the least worth moving, unless it is all there is.
-	moveParts = Whole / 20
-	// leastMoved is the least that one peer is given of a move; below it,
-	// the peer goes on pulling tokens.
-	leastMoved = Whole / 200
+	moveParts = Whole / 10
+	// regionHolders is the number of gateways that hold a region's share.
+	regionHolders = 3
+	// leadFactor is by how much a demand must exceed that of a holder before
+	// the share moves there.
+	leadFactor = 3
 	// idleDemand is the demand in tokens a second below which a gateway
 	// needs no share.
 	idleDemand = 0.5
@@ -34,6 +37,7 @@
 	before  int64
 	claimed int64
 	tokens  float64
+	lent    float64
 	at      time.Time
 }
 
@@ -80,7 +84,7 @@
 		return s.giveAll(now)
 	}
 	steps := []func(time.Time) *Proposal{
-		s.create, s.objectToSuspicion, s.succeed, s.claimFree, s.takeBack, s.rebalance,
+		s.create, s.objectToSuspicion, s.succeed, s.claimFree, s.takeGone, s.takeBack, s.rebalance,
 	}
 	for _, step := range steps {
 		if p := step(now); p != nil {
@@ -97,7 +101,7 @@
 		return nil
 	}
 	p := &Proposal{keep: s.inUse}
-	p.Row.add(s.self, Whole, s.burst)
+	p.Row.add(s.self, Whole, s.burst, 0)
 	return p
 }
 
@@ -133,10 +137,24 @@
 	}
 	p := s.unchanged()
 	p.claimed = free
-	p.Row.add(s.self, free, 0)
+	p.Row.add(s.self, free, 0, 0)
 	return p
 }
 
+// takeGone takes the share of a holder whose VM is gone.
+func (s *Share) takeGone(now time.Time) *Proposal {
+	if !s.wanted(now) {
+		return nil
+	}
+	for i := range s.row.Holders {
+		h := &s.row.Holders[i]
+		if h.Incarnation != s.self.Incarnation && s.gone(h) {
+			return s.claim(h)
+		}
+	}
+	return nil
+}
+
 // takeBack takes the share of a silent holder: first it marks the row, so
 // that a holder that reads it can object, and after the bound it swaps.
 func (s *Share) takeBack(now time.Time) *Proposal {
@@ -174,7 +192,7 @@
 	p := s.unchanged()
 	p.claimed = h.Parts
 	p.Row.remove(h.Incarnation)
-	p.Row.add(s.self, h.Parts, 0)
+	p.Row.add(s.self, h.Parts, 0, 0)
 	return p
 }
 
@@ -182,101 +200,150 @@
 	return &Proposal{Row: s.row.clone(), keep: s.inUse}
 }
 
-// rebalance gives parts to peers that told their demand, so that the parts of
-// all of them and of this gateway follow the demands.
+// rebalance gives parts to peers that told their demand. Regions hold shares
+// in proportion to their demands; within a region a few gateways hold the
+// share and the others pull tokens from them.
 func (s *Share) rebalance(now time.Time) *Proposal {
-	if s.inUse == 0 || now.Sub(s.movedAt) < moveInterval || !s.Usable(now) {
+	if s.inUse == 0 || len(s.wants) == 0 || !s.Usable(now) {
 		return nil
 	}
 	own := s.Demand(now)
 	if own < idleDemand {
 		own = 0
 	}
-	pool, demanded := s.inUse, own
-	for _, w := range s.wants {
-		h, _ := s.row.Holder(w.holder.Incarnation)
-		pool += h.Parts
-		demanded += w.demand
-	}
-	if demanded == own || demanded == 0 {
+	if own > 0 && now.Sub(s.movedAt) < moveInterval {
 		return nil
 	}
-	target := int64(float64(pool) * own / demanded)
-	surplus := s.inUse - max(target, s.leastKept(now))
-	if surplus < min(moveParts, s.inUse) {
-		return nil
-	}
-	return s.give(surplus, pool, demanded, now)
+	return s.give(s.lacking(own), now)
 }
 
-// leastKept returns the parts whose burst covers the tokens that are lent.
-func (s *Share) leastKept(now time.Time) int64 {
-	lent := s.bucket.Lent(now)
-	if lent == 0 || s.burst == 0 {
-		return 0
-	}
-	return min(s.inUse, int64(math.Ceil(lent/s.burst*Whole)))
+// candidate is a gateway that may hold a part of its region's share.
+type candidate struct {
+	holder Holder
+	held   int64
+	weight float64
 }
 
-// give moves parts, with their part of the tokens, to the peers that lack
-// them most.
-func (s *Share) give(surplus, pool int64, demanded float64, now time.Time) *Proposal {
+// region is the demand of a region and who may hold its share.
+type region struct {
+	demand     float64
+	candidates []candidate
+}
+
+// lacking returns what the gateways that should hold shares lack: in each
+// region the few with the highest demand, in equal parts, so that the loss of
+// one leaves the others their parts.
+func (s *Share) lacking(own float64) map[string]int64 {
+	regions := s.regions(own)
+	pool, demanded := s.inUse, 0.0
+	for name, r := range regions {
+		r.choose(s.slots(name))
+		demanded += r.demand
+		for _, c := range r.candidates {
+			if c.holder.Incarnation != s.self.Incarnation {
+				pool += c.held
+			}
+		}
+	}
 	lacks := map[string]int64{}
-	var lacking int64
-	for id, w := range s.wants {
-		h, _ := s.row.Holder(id)
-		if lack := int64(float64(pool)*w.demand/demanded) - h.Parts; lack > 0 {
-			lacks[id] = lack
-			lacking += lack
+	for _, r := range regions {
+		for _, c := range r.candidates {
+			target := float64(pool) * r.demand / demanded / float64(len(r.candidates))
+			lack := int64(target) - c.held
+			if c.holder.Incarnation != s.self.Incarnation && lack >= min(moveParts, s.inUse) {
+				lacks[c.holder.Incarnation] = lack
+			}
 		}
 	}
-	if lacking == 0 {
-		return nil
+	return lacks
+}
+
+// regions sorts the known demands by region. Present holders count more, so
+// that shares do not follow noise.
+func (s *Share) regions(own float64) map[string]*region {
+	regions := map[string]*region{}
+	add := func(h Holder, held int64, demanded float64) {
+		if demanded == 0 {
+			return
+		}
+		r, ok := regions[h.Region]
+		if !ok {
+			r = &region{}
+			regions[h.Region] = r
+		}
+		r.demand += demanded
+		weight := demanded
+		if held > 0 {
+			weight *= leadFactor
+		}
+		r.candidates = append(r.candidates, candidate{h, held, weight})
 	}
-	p := s.unchanged()
-	moved := s.move(p, lacks, min(surplus, lacking), lacking, now)
-	if moved == 0 {
-		return nil
+	add(s.self, s.inUse, own)
+	for _, id := range slices.Sorted(maps.Keys(s.wants)) {
+		h, _ := s.row.Holder(id)
+		add(s.wants[id].holder, h.Parts, s.wants[id].demand)
 	}
-	s.movedAt = now
-	return p
+	return regions
+}
+
+// choose leaves the candidates of highest weight.
+func (r *region) choose(n int) {
+	slices.SortStableFunc(r.candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	r.candidates = r.candidates[:min(n, len(r.candidates))]
+}
+
+// slots returns how many of a region's gateways with known demand should hold
+// shares, beside its holders whose demand is not known.
+func (s *Share) slots(name string) int {
+	others := 0
+	for _, h := range s.Peers() {
+		if _, asked := s.wants[h.Incarnation]; !asked && h.Region == name {
+			others++
+		}
+	}
+	return max(1, regionHolders-others)
 }
 
-// move gives the peers their proportion of surplus.
-func (s *Share) move(p *Proposal, lacks map[string]int64, surplus, lacking int64, now time.Time) int64 {
-	level := s.bucket.Level(now)
-	var moved int64
+// give moves parts, with their part of the tokens, to the peers that lack
+// them.
+func (s *Share) give(lacks map[string]int64, now time.Time) *Proposal {
+	p := s.unchanged()
 	for _, id := range slices.Sorted(maps.Keys(lacks)) {
-		parts := int64(math.Ceil(float64(surplus) * float64(lacks[id]) / float64(lacking)))
-		parts = min(parts, surplus-moved)
-		if parts < min(leastMoved, surplus) {
+		parts := min(lacks[id], p.keep)
+		if parts < min(moveParts, s.inUse) {
 			continue
 		}
-		tokens := s.bucket.Withdraw(level*float64(parts)/float64(s.inUse), now)
-		p.Row.add(s.wants[id].holder, parts, tokens)
-		p.tokens += tokens
-		moved += parts
+		s.split(p, s.wants[id].holder, parts, now)
+	}
+	if p.keep == s.inUse {
+		return nil
 	}
-	p.keep = s.inUse - moved
 	p.Row.setParts(s.self.Incarnation, p.keep)
-	return moved
+	s.movedAt = now
+	return p
+}
+
+// split moves parts with their tokens from this gateway to another in p.
+func (s *Share) split(p *Proposal, to Holder, parts int64, now time.Time) {
+	tokens, lent := s.bucket.Split(float64(parts)/float64(p.keep), now)
+	p.Row.add(to, parts, tokens, lent)
+	p.tokens += tokens
+	p.lent += lent
+	p.keep -= parts
 }
 
 // giveAll gives the whole share to the peer with the highest demand, or else
 // to the largest holder, or else to nobody.
 func (s *Share) giveAll(now time.Time) *Proposal {
-	mine, ok := s.row.Holder(s.self.Incarnation)
-	if !ok {
+	if _, ok := s.row.Holder(s.self.Incarnation); !ok {
 		return nil
 	}
 	p := s.unchanged()
+	if heir, found := s.heir(); found && p.keep > 0 {
+		s.split(p, heir, p.keep, now)
+	}
 	p.keep = 0
 	p.Row.remove(s.self.Incarnation)
-	heir, found := s.heir()
-	if found && s.bucket.Lent(now) == 0 {
-		p.tokens = s.bucket.Withdraw(s.bucket.Level(now), now)
-		p.Row.add(heir, mine.Parts, p.tokens)
-	}
 	return p
 }
 
@@ -334,5 +401,5 @@
 		s.use(p.before, now)
 	}
 	lost := s.bucket.Refill() * now.Sub(p.at).Seconds()
-	s.bucket.Fill(max(0, p.tokens-lost), now)
+	s.bucket.Join(max(0, p.tokens-lost), p.lent, now)
 }
--- a/tests/engine_fleet_test.go
+++ b/tests/engine_fleet_test.go
@@ -1,7 +1,6 @@
 package tests
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -17,7 +16,6 @@
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
 
-	"fireflypier.example/fireflypier/internal/document"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/fleet"
 	"fireflypier.example/fireflypier/internal/ledger"
@@ -162,18 +160,6 @@
 	}
 }
 
-// setFault replaces the faults of a stand-in.
-func setFault(ctx context.Context, s *fleet.Standin, fault any) {
-	body, err := document.Encode(fault)
-	Expect(err).NotTo(HaveOccurred())
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Addr.String()+"/standin/fault", bytes.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	answer, err := http.DefaultClient.Do(r)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(answer.Body.Close()).To(Succeed())
-	Expect(answer.StatusCode).To(Equal(http.StatusOK))
-}
-
 // served waits until each model of the set is loaded in its version on as
 // many engines as named.
 func (f *engineFleet) served(ctx context.Context, replicas int) {
