--- a/tests/at_most_once_test.go
+++ b/tests/at_most_once_test.go
@@ -171,6 +171,34 @@
 		Expect(f.serviceRan(ctx, "/print/three")).To(HaveLen(1))
 	})
 
+	It("runs a marked generation once, whole or as a stream", func() {
+		ctx := testContext()
+		f := startClaimFleet(ctx)
+		before := len(f.generated(ctx))
+		for i, stream := range []bool{false, true} {
+			messages, want := prompt("sheet", 40)
+			header := http.Header{"X-Not-Repeatable": {"true"}, "Idempotency-Key": {fmt.Sprint("sheet-", i)}}
+			answers := make([]answer, 6)
+			var wg conc.WaitGroup
+			for n := range answers {
+				wg.Go(func() {
+					answers[n] = send(ctx, http.MethodPost, f.gateways[n%2].Addr, "/v1/chat/completions", circleKey, chatBody(messages, stream), header)
+				})
+			}
+			wg.Wait()
+			for _, a := range answers {
+				Expect(a.status).To(Equal(http.StatusOK), a.body)
+				Expect(a.body).To(Equal(answers[0].body))
+			}
+			if stream {
+				Expect(readStream(answers[0].body)).To(Equal(streamed{text: want, done: true}))
+			} else {
+				Expect(content(answers[0])).To(Equal(want))
+			}
+			Expect(f.generated(ctx)).To(HaveLen(before + i + 1))
+		}
+	})
+
 	It("runs nothing twice when the target's answer is lost", func() {
 		ctx := testContext()
 		f := startClaimFleet(ctx)
--- a/tests/whole_answer_test.go
+++ b/tests/whole_answer_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,6 +30,13 @@
 // generatePath is the path by which a proxy knows generations.
 const generatePath = "/v1/generate"
 
+const (
+	unreadTokens = 50_000
+	smallBuffer  = 4 << 10
+	// longRequestID makes every event long, so that buffers fill soon.
+	longRequestID = 128
+)
+
 func startStreamFleet(ctx context.Context, requestTimeout time.Duration) *streamFleet {
 	f := &streamFleet{}
 	quick := func(_ int, cfg *settings.Gateway) {
@@ -184,6 +194,36 @@
 	})
 })
 
+var _ = Describe("a caller that does not read", func() {
+	It("holds back the engine and is given up after the write timeout", func() {
+		ctx := testContext()
+		f := startSmallFleet(ctx, 1, 1, withGateways(func(_ int, cfg *settings.Gateway) {
+			cfg.Requests.WriteTimeout = time.Second
+			cfg.RequestTimeout = 2 * conditionTimeout
+		}))
+		conn, err := net.Dial("tcp", f.gateways[0].Addr.String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(conn.(*net.TCPConn).SetReadBuffer(smallBuffer)).To(Succeed())
+		before := len(f.generated(ctx))
+		messages, _ := prompt("unread", unreadTokens)
+		body := strings.Replace(chatBody(messages, true), "5000", strconv.Itoa(unreadTokens+1), 1)
+		_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer %s\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+			circleKey, strings.Repeat("i", longRequestID), len(body), body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fleet.Eventually(ctx, func() error {
+			ran := f.generated(ctx)
+			if len(ran) <= before || metric(ctx, f.gateways[0], "fireflypier_attempts_total", "canceled") == 0 {
+				return errors.New("the attempt is not canceled")
+			}
+			return nil
+		})).To(Succeed())
+		ran := f.generated(ctx)
+		Expect(ran[len(ran)-1].Finished).To(BeFalse())
+		Expect(ran[len(ran)-1].Tokens).To(BeNumerically("<", unreadTokens))
+	})
+})
+
 // waitUntilIdle waits until no engine runs a generation.
 func (f *streamFleet) waitUntilIdle(ctx context.Context) {
 	GinkgoHelper()
