--- a/tests/at_most_once_test.go
+++ b/tests/at_most_once_test.go
@@ -63,7 +63,7 @@
 	s.Routes["slow"] = object.Route{PathPrefix: "/slow", Pool: "desk", CostTokens: 1, Timeout: conditionTimeout}
 }
 
-func order(ctx context.Context, g netip.AddrPort, id, path, body string) answer {
+func placeOrder(ctx context.Context, g netip.AddrPort, id, path, body string) answer {
 	return send(ctx, http.MethodPost, g, path, circleKey, body, http.Header{"Idempotency-Key": {id}})
 }
 
@@ -72,7 +72,7 @@
 	answered := make(chan answer, 1)
 	go func() {
 		defer GinkgoRecover()
-		answered <- order(ctx, g, id, path, "bands")
+		answered <- placeOrder(ctx, g, id, path, "bands")
 	}()
 	return answered
 }
@@ -117,10 +117,10 @@
 		f := startClaimFleet(ctx)
 
 		By("repeating at another gateway after the answer")
-		first := order(ctx, f.gateways[0].Addr, "id-1", "/print/one", "bands")
+		first := placeOrder(ctx, f.gateways[0].Addr, "id-1", "/print/one", "bands")
 		Expect(first.status).To(Equal(http.StatusOK), first.body)
 		for _, g := range f.gateways {
-			again := order(ctx, g.Addr, "id-1", "/print/one", "bands")
+			again := placeOrder(ctx, g.Addr, "id-1", "/print/one", "bands")
 			Expect(again.status).To(Equal(http.StatusOK), again.body)
 			Expect(again.body).To(Equal(first.body))
 			Expect(again.header.Get("Content-Type")).To(Equal(first.header.Get("Content-Type")))
@@ -134,7 +134,7 @@
 		var wg conc.WaitGroup
 		for i := range 20 {
 			wg.Go(func() {
-				a := order(ctx, f.gateways[i%2].Addr, "id-2", "/print/two", "bands")
+				a := placeOrder(ctx, f.gateways[i%2].Addr, "id-2", "/print/two", "bands")
 				mu.Lock()
 				defer mu.Unlock()
 				bodies[fmt.Sprint(a.status, a.body)]++
@@ -147,8 +147,8 @@
 
 		By("refusing the id with another body, path or method")
 		for _, a := range []answer{
-			order(ctx, f.gateways[1].Addr, "id-1", "/print/one", "other bands"),
-			order(ctx, f.gateways[1].Addr, "id-1", "/print/other", "bands"),
+			placeOrder(ctx, f.gateways[1].Addr, "id-1", "/print/one", "other bands"),
+			placeOrder(ctx, f.gateways[1].Addr, "id-1", "/print/other", "bands"),
 		} {
 			Expect(refused(a)).To(Equal(refusal{Code: "idempotency_key_reused", NotRun: true}))
 		}
@@ -162,11 +162,11 @@
 
 		By("saying so when the answer was too large to keep")
 		setFault(ctx, f.desk, plainservice.Fault{AnswerBytes: 64 << 10})
-		large := order(ctx, f.gateways[0].Addr, "id-3", "/print/three", "bands")
+		large := placeOrder(ctx, f.gateways[0].Addr, "id-3", "/print/three", "bands")
 		Expect(large.status).To(Equal(http.StatusOK))
 		Expect(len(large.body)).To(BeNumerically(">", 64<<10))
 		for _, g := range f.gateways {
-			Expect(refused(order(ctx, g.Addr, "id-3", "/print/three", "bands"))).To(Equal(refusal{Code: "answer_not_kept"}))
+			Expect(refused(placeOrder(ctx, g.Addr, "id-3", "/print/three", "bands"))).To(Equal(refusal{Code: "answer_not_kept"}))
 		}
 		Expect(f.serviceRan(ctx, "/print/three")).To(HaveLen(1))
 	})
@@ -206,7 +206,7 @@
 			id, path := fmt.Sprint("lost-", i), fmt.Sprint("/print/lost-", i)
 			setFault(ctx, f.desk, fault)
 			for _, g := range []int{0, 1, 0} {
-				Expect(refused(order(ctx, f.gateways[g].Addr, id, path, "bands"))).To(Equal(refusal{Code: "outcome_unknown"}))
+				Expect(refused(placeOrder(ctx, f.gateways[g].Addr, id, path, "bands"))).To(Equal(refusal{Code: "outcome_unknown"}))
 			}
 			Expect(f.serviceRan(ctx, path)).To(HaveLen(1))
 		}
@@ -232,8 +232,8 @@
 		for lost := 1; lost <= 3; lost++ {
 			id, path := fmt.Sprint("claim-", lost), fmt.Sprint("/print/claim-", lost)
 			setFault(ctx, f.platform, cloud.Fault{Fault: tablestore.Fault{LoseAnswers: lost}})
-			first := order(ctx, f.gateways[0].Addr, id, path, "bands")
-			second := order(ctx, f.gateways[1].Addr, id, path, "bands")
+			first := placeOrder(ctx, f.gateways[0].Addr, id, path, "bands")
+			second := placeOrder(ctx, f.gateways[1].Addr, id, path, "bands")
 			ran := len(f.serviceRan(ctx, path))
 			Expect(ran).To(BeNumerically("<=", 1))
 			for _, a := range []answer{first, second} {
@@ -249,7 +249,7 @@
 		setFault(ctx, f.platform, cloud.Fault{Fault: tablestore.Fault{LoseAnswers: 1}})
 		setFault(ctx, f.desk, plainservice.Fault{LoseAnswers: 1})
 		for _, g := range []int{0, 1, 0} {
-			Expect(refused(order(ctx, f.gateways[g].Addr, "both", "/print/both", "bands"))).To(Equal(refusal{Code: "outcome_unknown"}))
+			Expect(refused(placeOrder(ctx, f.gateways[g].Addr, "both", "/print/both", "bands"))).To(Equal(refusal{Code: "outcome_unknown"}))
 		}
 		Expect(f.serviceRan(ctx, "/print/both")).To(HaveLen(1))
 	})
@@ -261,13 +261,13 @@
 		for range 2 {
 			setFault(ctx, f.platform, out)
 			for _, g := range f.gateways {
-				a := order(ctx, g.Addr, "out", "/print/out", "bands")
+				a := placeOrder(ctx, g.Addr, "out", "/print/out", "bands")
 				Expect(refused(a)).To(Equal(refusal{Code: "store_unavailable", NotRun: true}))
 			}
 			Expect(f.serviceRan(ctx, "/print/out")).To(BeEmpty())
 			setFault(ctx, f.platform, cloud.Fault{})
 		}
-		Expect(order(ctx, f.gateways[0].Addr, "out", "/print/out", "bands").status).To(Equal(http.StatusOK))
+		Expect(placeOrder(ctx, f.gateways[0].Addr, "out", "/print/out", "bands").status).To(Equal(http.StatusOK))
 
 		By("recording the answer after an outage that began while it ran")
 		setFault(ctx, f.desk, plainservice.Fault{Delay: 500 * time.Millisecond})
@@ -277,7 +277,7 @@
 		a := <-answered
 		Expect(a.status).To(Equal(http.StatusOK), a.body)
 		setFault(ctx, f.platform, cloud.Fault{})
-		again := order(ctx, f.gateways[1].Addr, "during", "/print/during", "bands")
+		again := placeOrder(ctx, f.gateways[1].Addr, "during", "/print/during", "bands")
 		Expect(again.body).To(Equal(a.body))
 		Expect(f.serviceRan(ctx, "/print/during")).To(HaveLen(1))
 	})
@@ -311,7 +311,7 @@
 		f.platforms[0].SetFault(faultproxy.Fault{})
 		f.waitForClaim(ctx)
 		for range 2 {
-			a := order(ctx, f.gateways[1].Addr, "late", "/print/late", "bands")
+			a := placeOrder(ctx, f.gateways[1].Addr, "late", "/print/late", "bands")
 			Expect(refused(a)).To(Equal(refusal{Code: "outcome_unknown"}))
 		}
 		Expect(f.serviceRan(ctx, "/print/late")).To(BeEmpty())
@@ -334,7 +334,7 @@
 			setFault(ctx, f.desk, plainservice.Fault{})
 
 			for range 2 {
-				a := order(ctx, f.gateways[1].Addr, "killed", "/print/killed", "bands")
+				a := placeOrder(ctx, f.gateways[1].Addr, "killed", "/print/killed", "bands")
 				if again == "" {
 					Expect(a.status).To(Equal(http.StatusOK), a.body)
 				} else {
@@ -403,5 +403,5 @@
 // afterRecord waits until the answer is recorded.
 func afterRecord(ctx context.Context, f *claimFleet, send func()) {
 	send()
-	Expect(order(ctx, f.gateways[1].Addr, "killed", "/print/killed", "bands").status).To(Equal(http.StatusOK))
+	Expect(placeOrder(ctx, f.gateways[1].Addr, "killed", "/print/killed", "bands").status).To(Equal(http.StatusOK))
 }
