--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,15 +93,14 @@
 	g.platform = platform.New(cfg.Platform)
 	registry := prometheus.NewRegistry()
 	g.ejected = ejection.New(g.clock)
-	self := g.self()
 	g.replica = replica.New(replica.Parts{
-		Self: self, Bound: cfg.FreshnessBound, Seeds: cfg.SeedPeers,
+		Self: g.self(), Bound: cfg.FreshnessBound, Seeds: cfg.SeedPeers,
 		Table: g.platform, Objects: g.platform.Objects(),
 		Dialer: g.dialer, Clock: g.clock, Logger: g.logger,
 	})
 	g.adoption = g.replica.Adoption()
 	g.membership = g.replica.Membership()
-	g.claims = g.newClaims(self, registry)
+	g.claims = g.newClaims(g.membership.Self(), registry)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
 	g.limiter = g.newLimiter()
 	if err := g.listen(registry); err != nil {
