--- a/internal/feed/publisher.go
+++ b/internal/feed/publisher.go
@@ -2,6 +2,7 @@
 package feed
 
 import (
+	"context"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,7 @@
 	leaving  map[string]bool
 	changed  chan struct{}
 	watchers int
+	demand   func(context.Context, *feedpb.DemandReport) (*feedpb.DemandAnswer, error)
 }
 
 type versioned struct {
@@ -87,6 +89,20 @@
 	delete(p.views, target)
 }
 
+// OnDemand makes f receive the gateways' demand reports. Call it before
+// serving.
+func (p *Publisher) OnDemand(f func(context.Context, *feedpb.DemandReport) (*feedpb.DemandAnswer, error)) {
+	p.demand = f
+}
+
+// Demand implements feedpb.DRPCFeedServer.
+func (p *Publisher) Demand(ctx context.Context, r *feedpb.DemandReport) (*feedpb.DemandAnswer, error) {
+	if p.demand == nil {
+		return &feedpb.DemandAnswer{}, nil
+	}
+	return p.demand(ctx, r)
+}
+
 // Watchers returns the number of streams.
 func (p *Publisher) Watchers() int {
 	p.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/callerapi"
 	"fireflypier.example/fireflypier/internal/claim"
+	"fireflypier.example/fireflypier/internal/demandmeter"
 	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/ejection"
 	"fireflypier.example/fireflypier/internal/engine"
@@ -61,6 +62,7 @@
 	leaving    atomic.Bool
 	limiter    *limiter.Limiter
 	subscriber *feed.Subscriber
+	meter      *demandmeter.Meter
 	peers      *peer.Server
 	dialer     *peer.Dialer
 	callers    *listener.Listener
@@ -102,6 +104,7 @@
 	g.membership = g.replica.Membership()
 	g.claims = g.newClaims(g.membership.Self(), registry)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
+	g.meter = demandmeter.New(cfg.Name, g.dialer, g.planners, g.clock, g.logger)
 	g.limiter = g.newLimiter()
 	if err := g.listen(registry); err != nil {
 		return nil, err
@@ -177,6 +180,7 @@
 	return schedule.New(g.views,
 		schedule.WithClock(g.clock),
 		schedule.WithWeight(g.weight),
+		schedule.WithMeter(g.meter),
 		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
 }
 
@@ -211,6 +215,9 @@
 	return addresses
 }
 
+// planners returns the controllers that plan engines.
+func (g *Gateway) planners() []netip.AddrPort { return g.subscriber.Publishing() }
+
 func (g *Gateway) deliver(batch *feedpb.Views) {
 	g.views.Update(g.adoption.Current(), batch)
 }
@@ -235,6 +242,7 @@
 	wg.Go(func() { g.replica.Run(background) })
 	wg.Go(func() { g.limiter.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
+	wg.Go(func() { g.meter.Run(background) })
 	wg.Go(func() { g.claims.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
 	wg.Go(func() { g.logError("admin", g.admin.Run()) })
