--- a/internal/assignment/compare_test.go
+++ b/internal/assignment/compare_test.go
@@ -51,7 +51,6 @@
 	customer   int
 	arrival    time.Time
 	first, end time.Time
-	begun      time.Time
 	tokens     int
 	cached     int
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -95,7 +95,7 @@
 		return failure.Is(err, failure.BadRequest) || ctx.Err() != nil, err
 	}
 	defer func() { _ = stream.Close() }()
-	done, err = d.relay(stream, p, sink)
+	done, err = d.relay(stream, p, &startSink{Sink: sink, place: place})
 	if err != nil {
 		logger.Info("attempt ended early", "reason", err, "offset", p.offset)
 	}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/member"
 )
@@ -19,6 +20,7 @@
 		Members       []member.Member   `json:"members"`
 		EngineViews   []engineview.View `json:"engine_views"`
 		CallerAddress string            `json:"caller_address"`
+		Schedule      assignment.State  `json:"schedule"`
 	}{
 		Self:          g.membership.Self(),
 		Revision:      g.adoption.Current().Revision(),
@@ -28,5 +30,6 @@
 		Members:       g.membership.All(),
 		EngineViews:   g.views.All(),
 		CallerAddress: g.Addr().String(),
+		Schedule:      g.schedule.State(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	membership *membership.Membership
 	views      *engineview.Views
 	entry      *entryPoint
+	schedule   *schedule.Schedule
 	leaving    atomic.Bool
 	subscriber *feed.Subscriber
 	peers      *peer.Server
@@ -103,6 +104,7 @@
 	if err != nil {
 		return err
 	}
+	g.schedule = g.newSchedule(registry)
 	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
 	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
 	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
@@ -138,16 +140,17 @@
 		},
 		Admission: admit,
 		Limiter:   limits,
-		Dispatch:  dispatch.New(engine.NewClient(), g.schedule(), g.logger),
+		Dispatch:  dispatch.New(engine.NewClient(), g.schedule, g.logger),
 		Plain:     plain,
 		Entry:     g.entry,
 	})
 }
 
-func (g *Gateway) schedule() *schedule.Schedule {
+func (g *Gateway) newSchedule(registry *prometheus.Registry) *schedule.Schedule {
 	return schedule.New(g.views,
 		schedule.WithClock(g.clock),
 		schedule.WithWeight(g.weight),
+		schedule.WithMetrics(registry),
 		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
 }
 
--- a/internal/queue/customer.go
+++ b/internal/queue/customer.go
@@ -1,6 +1,10 @@
 package queue
 
-import "container/heap"
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+)
 
 // customer counts what a customer was served.
 type customer struct {
@@ -69,3 +73,22 @@
 	*h = customers[:len(customers)-1]
 	return c
 }
+
+// CustomerState is what a dump shows of one customer.
+type CustomerState struct {
+	// Name names the customer, Waiting counts its waiting items.
+	Name    string `json:"name"`
+	Waiting int    `json:"waiting"`
+	// ServedSeconds are the tokens served, in seconds of its rate.
+	ServedSeconds float64 `json:"served_seconds"`
+}
+
+// Customers returns the state of every customer, sorted by name.
+func (q *Queue) Customers() []CustomerState {
+	list := make([]CustomerState, 0, len(q.customers))
+	for _, c := range q.customers {
+		list = append(list, CustomerState{Name: c.name, Waiting: c.waiting, ServedSeconds: c.counter})
+	}
+	slices.SortFunc(list, func(a, b CustomerState) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/engineview"
@@ -23,6 +24,10 @@
 	weight func(customer string) float64
 	parts  []assignment.Option
 
+	registry prometheus.Registerer
+	waits    prometheus.Counter
+	refused  prometheus.Counter
+
 	mu         sync.Mutex
 	assignment *assignment.Assignment
 }
@@ -44,6 +49,11 @@
 	return func(s *Schedule) { s.parts = append(s.parts, opts...) }
 }
 
+// WithMetrics registers the metrics of the schedule.
+func WithMetrics(r prometheus.Registerer) Option {
+	return func(s *Schedule) { s.registry = r }
+}
+
 // New returns a schedule that follows the views.
 func New(views *engineview.Views, opts ...Option) *Schedule {
 	s := &Schedule{
@@ -54,6 +64,7 @@
 		opt(s)
 	}
 	s.assignment = assignment.New(s.parts...)
+	s.register()
 	views.OnUpdate(s.update)
 	return s
 }
@@ -64,6 +75,29 @@
 	s.assignment.Update(views, s.clock.Now())
 }
 
+func (s *Schedule) register() {
+	s.waits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflypier_waits_total", Help: "Attempts that had to wait for an engine.",
+	})
+	s.refused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "fireflypier_early_refusals_total", Help: "Attempts refused at once, since the queue had no room or their turn would come after the deadline.",
+	})
+	if s.registry == nil {
+		return
+	}
+	waiting := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "fireflypier_requests_waiting", Help: "Requests that wait for an engine.",
+	}, func() float64 { return float64(s.Waiting()) })
+	s.registry.MustRegister(waiting, s.waits, s.refused)
+}
+
+// State returns the state for dumps.
+func (s *Schedule) State() assignment.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.assignment.State(s.clock.Now())
+}
+
 // Waiting returns the number of requests that wait for a place.
 func (s *Schedule) Waiting() int {
 	s.mu.Lock()
@@ -94,8 +128,12 @@
 	p := &Place{schedule: s}
 	p.job = assignment.Job{Request: r, Exclude: exclude, Weight: s.weight(r.Ticket.Customer)}
 	if s.submit(&p.job) {
+		if p.job.Err != nil {
+			s.refused.Inc()
+		}
 		return p.placed()
 	}
+	s.waits.Inc()
 	ready := make(chan struct{})
 	if s.wait(&p.job, ready) {
 		select {
