--- a/cmd/fireflypier/main.go
+++ b/cmd/fireflypier/main.go
@@ -36,6 +36,7 @@
 		{"get", "Show objects", "Show the objects in force.", &getCommand{}},
 		{"status", "Show the status", "Show the status of the pools and members that a controller knows.", &statusCommand{}},
 		{"dump", "Show a process's state", "Show the state of the process whose admin address is given.", &dumpCommand{}},
+		{"load", "Put load on gateways", "Run a workload against gateways as callers do, and show what the callers saw; or compare results.", &loadCommand{}},
 		{"settings", "Check settings", "Check a settings file of a gateway or a controller.", &settingsCommand{}},
 		{"version", "Show the version", "Show the version of the program.", &versionCommand{}},
 	}
