--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,193 @@
+// Package experiment runs a workload against real processes and stand-ins on
+// loopback, and brings about faults on a schedule.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/document"
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/load"
+	"fireflypier.example/fireflypier/internal/object"
+	"fireflypier.example/fireflypier/internal/revision"
+	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/standin/cloud"
+	"fireflypier.example/fireflypier/internal/standin/modelengine"
+	"fireflypier.example/fireflypier/internal/workload"
+)
+
+// settleTimeout bounds the wait until every model of the workload answers.
+const settleTimeout = 3 * time.Minute
+
+// Experiment describes one run.
+type Experiment struct {
+	// Objects and Workload are files.
+	Objects  string `json:"objects"`
+	Workload string `json:"workload"`
+	// Region and DataCentres are where the nodes are, in turn.
+	Region      string   `json:"region"`
+	DataCentres []string `json:"data_centres"`
+	// Gateways and Controllers are the numbers of nodes.
+	Gateways    int `json:"gateways"`
+	Controllers int `json:"controllers"`
+	// Weights and Engine configure the stand-ins; memory, concurrency and
+	// fencing of an engine are those of its target.
+	Weights cloud.WeightConfig `json:"weights"`
+	Engine  modelengine.Config `json:"engine"`
+	// Faults are brought about during the run.
+	Faults []Fault `json:"faults"`
+}
+
+// Read reads an experiment file, JSON with comments.
+func Read(file string) (*Experiment, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read experiment")
+	}
+	var e Experiment
+	if err := document.Decode(file, data, &e); err != nil {
+		return nil, err
+	}
+	return &e, nil
+}
+
+// run is one run of an experiment.
+type run struct {
+	*Experiment
+
+	fleet       *fleet.Fleet
+	objects     object.Set
+	platform    *fleet.Standin
+	targets     map[string]*fleet.Standin
+	services    []netip.AddrPort
+	gateways    []*fleet.Node
+	controllers []*fleet.Node
+	say         func(format string, args ...any)
+}
+
+// Run starts everything in f, runs the workload with or without the faults,
+// and returns the result. say receives what happens, for people.
+func (e *Experiment) Run(ctx context.Context, f *fleet.Fleet, withFaults bool, say func(format string, args ...any)) (*load.Result, error) {
+	r := &run{Experiment: e, fleet: f, targets: map[string]*fleet.Standin{}, say: say}
+	work, err := workload.Read(e.Workload)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.start(ctx, work); err != nil {
+		return nil, err
+	}
+	faults, stopFaults := context.WithCancel(ctx)
+	defer stopFaults()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stopFaults()
+	if withFaults {
+		work.Name += ", with faults"
+		wg.Go(func() { r.bringAbout(faults) })
+	}
+	result := load.New(work, r.addresses(), nil).Run(ctx)
+	return result, result.CheckRan(ctx, r.services)
+}
+
+func (r *run) start(ctx context.Context, work *workload.Workload) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	if err := r.startStandins(ctx); err != nil {
+		return err
+	}
+	if err := r.startNodes(ctx); err != nil {
+		return err
+	}
+	edit := &revision.Edit{ID: uuid.NewString(), Put: r.objects}
+	if _, err := r.fleet.Operator(r.controllers...).Apply(ctx, edit); err != nil {
+		return err
+	}
+	for _, g := range r.gateways {
+		if err := g.Ready(ctx); err != nil {
+			return err
+		}
+	}
+	r.say("%d engines and services, %d gateways and %d controllers run; waiting for the models", len(r.targets), len(r.gateways), len(r.controllers))
+	return r.waitForModels(ctx, work)
+}
+
+func (r *run) startStandins(ctx context.Context) error {
+	data, err := os.ReadFile(r.Objects)
+	if err != nil {
+		return errors.Wrap(err, "read objects")
+	}
+	r.objects = revision.Empty().Objects
+	if err := document.Decode(r.Objects, data, &r.objects); err != nil {
+		return err
+	}
+	r.platform, err = r.fleet.StartPlatform(ctx, struct {
+		Weights cloud.WeightConfig `json:"weights"`
+	}{r.Weights})
+	if err != nil {
+		return err
+	}
+	for name, t := range r.objects.Targets {
+		s, err := r.startTarget(ctx, name, &t)
+		if err != nil {
+			return err
+		}
+		r.targets[name] = s
+		t.Address = s.Addr
+		r.objects.Targets[name] = t
+	}
+	return nil
+}
+
+func (r *run) startTarget(ctx context.Context, name string, t *object.Target) (*fleet.Standin, error) {
+	if r.objects.Pools[t.Pool].Kind != object.PoolEngines {
+		s, err := r.fleet.StartService(ctx, name)
+		if err == nil {
+			r.services = append(r.services, s.Addr)
+		}
+		return s, err
+	}
+	cfg := r.Engine
+	cfg.MemoryBytes = t.MemoryBytes
+	cfg.Concurrency = t.Concurrency
+	cfg.ChecksFencing = t.ChecksFencing
+	return r.fleet.StartEngine(ctx, name, cfg)
+}
+
+func (r *run) startNodes(ctx context.Context) error {
+	place := func(i int, p *settings.Process) {
+		p.Region = r.Region
+		p.DataCentre = r.DataCentres[i%len(r.DataCentres)]
+		p.LogLevel = "info"
+	}
+	for i := range r.Controllers {
+		c, err := r.fleet.StartController(ctx, fmt.Sprintf("controller-%d", i), func(cfg *settings.Controller) { place(i, &cfg.Process) })
+		if err != nil {
+			return err
+		}
+		r.controllers = append(r.controllers, c)
+	}
+	for i := range r.Gateways {
+		g, err := r.fleet.StartGateway(ctx, fmt.Sprintf("gateway-%d", i), func(cfg *settings.Gateway) { place(i, &cfg.Process) })
+		if err != nil {
+			return err
+		}
+		r.gateways = append(r.gateways, g)
+	}
+	return nil
+}
+
+func (r *run) addresses() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, g := range r.gateways {
+		list = append(list, g.Addr)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/experiment/fault.go
@@ -0,0 +1,146 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/fleet"
+	"fireflypier.example/fireflypier/internal/workload"
+	"fireflypier.example/fireflypier/pkg/caller"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The kinds of faults.
+const (
+	// Kill ends a process at once; it does not come back.
+	Kill Kind = "kill"
+	// Freeze stops a process for a time.
+	Freeze Kind = "freeze"
+	// StoreOutage refuses every call of the table and the object store.
+	StoreOutage Kind = "store_outage"
+)
+
+// Fault is one fault of an experiment.
+type Fault struct {
+	// At is the time after the first arrival, For how long it lasts.
+	At  time.Duration `json:"at"`
+	For time.Duration `json:"for,omitzero"`
+	// Kind is what happens, Process to whom: gateway-N, controller-N or a
+	// target's name; the platform when empty.
+	Kind    Kind   `json:"kind"`
+	Process string `json:"process,omitzero"`
+}
+
+// bringAbout brings about the faults, in the order of the file.
+func (r *run) bringAbout(ctx context.Context) {
+	start := time.Now()
+	for _, f := range r.Faults {
+		if !sleep(ctx, time.Until(start.Add(f.At))) {
+			return
+		}
+		r.say("%s: %s %s", f.At, f.Kind, f.Process)
+		if err := r.bring(ctx, &f); err != nil {
+			r.say("the fault failed: %v", err)
+		}
+	}
+}
+
+func (r *run) bring(ctx context.Context, f *Fault) error {
+	if f.Kind == StoreOutage {
+		if err := postFault(r.platform.Addr, `{"outage": true}`); err != nil {
+			return err
+		}
+		sleep(ctx, f.For)
+		return postFault(r.platform.Addr, `{}`)
+	}
+	p, err := r.process(f.Process)
+	if err != nil {
+		return err
+	}
+	switch f.Kind {
+	case Kill:
+		p.Kill()
+		return nil
+	case Freeze:
+		if err := p.Freeze(); err != nil {
+			return err
+		}
+		sleep(ctx, f.For)
+		return p.Thaw()
+	}
+	return errors.Errorf("there is no fault %q", f.Kind)
+}
+
+func (r *run) process(name string) (*fleet.Process, error) {
+	if s, ok := r.targets[name]; ok {
+		return s.Process, nil
+	}
+	for _, n := range append(r.gateways[:len(r.gateways):len(r.gateways)], r.controllers...) {
+		if n.Name == name {
+			return n.Process, nil
+		}
+	}
+	return nil, errors.Errorf("there is no process %q", name)
+}
+
+func postFault(addr netip.AddrPort, body string) error {
+	answer, err := http.Post("http://"+addr.String()+"/standin/fault", "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		return errors.Wrap(err, "set fault")
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return errors.Errorf("the stand-in answers %s", answer.Status)
+	}
+	return nil
+}
+
+// waitForModels waits until each model of the workload answers at each
+// gateway.
+func (r *run) waitForModels(ctx context.Context, work *workload.Workload) error {
+	for i := range work.Streams {
+		s := &work.Streams[i]
+		if s.Model == "" {
+			continue
+		}
+		for _, g := range r.gateways {
+			c := caller.New([]netip.AddrPort{g.Addr}, caller.WithKey(work.Customers[s.Customer].Key))
+			if err := fleet.Eventually(ctx, func() error { return ask(ctx, c, s.Model) }); err != nil {
+				return errors.Wrapf(err, "wait for model %s", s.Model)
+			}
+		}
+	}
+	return nil
+}
+
+func ask(ctx context.Context, c *caller.Caller, model string) error {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":1,"messages":[]}`, model)
+	answer, err := c.Do(ctx, http.MethodPost, "/v1/chat/completions", nil, []byte(body))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return errors.Errorf("the gateway answers %s", answer.Status)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
