--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
+	"github.com/pkg/errors"
 
 	"fireflypier.example/fireflypier/internal/workload"
 	"fireflypier.example/fireflypier/pkg/caller"
@@ -19,6 +20,8 @@
 const (
 	maxAnswerBytes = 1 << 20
 	maxEventBytes  = 1 << 20
+	// refusedByAllWait is the wait when every gateway refused.
+	refusedByAllWait = time.Second
 )
 
 // errorBody is the body of a refusal or of a stream's last event.
@@ -43,6 +46,10 @@
 	}
 	o.status, o.code, o.notRun = 0, "", false
 	answer, err := sender.Do(ctx, http.MethodPost, path, header, []byte(body))
+	if errors.Is(err, caller.ErrRefused) {
+		o.code, o.notRun = "refused_by_all", true
+		return refusedByAllWait
+	}
 	if err != nil {
 		o.code = "no_answer"
 		return 0
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -28,6 +28,10 @@
 	idleConnsPerHost = 64
 )
 
+// ErrRefused means that every gateway refused for now; the request did not
+// run.
+var ErrRefused = errors.New("every gateway refused for now")
+
 // Caller sends requests for one customer. It may be used by many goroutines.
 type Caller struct {
 	seeds      []netip.AddrPort
@@ -74,7 +78,8 @@
 // Do sends one request and returns the answer, whose body the caller of Do
 // closes. It goes on to the next gateway when a gateway cannot be connected
 // to, or refuses because it leaves or its configuration is stale. Any other
-// answer is returned, and any other error means that the outcome is unknown.
+// answer is returned. ErrRefused means that the request did not run; any other
+// error means that the outcome is unknown.
 func (c *Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	addresses, err := c.Addresses(ctx)
 	if err != nil {
@@ -93,7 +98,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "reach a gateway")
 	}
-	return nil, errors.New("every gateway refused for now")
+	return nil, ErrRefused
 }
 
 // notConnected reports whether no byte of the request can have been sent.
