--- a/internal/experiment/fault.go
+++ b/internal/experiment/fault.go
@@ -54,22 +54,25 @@
 }
 
 func (r *run) bring(ctx context.Context, f *Fault) error {
-	if f.Kind == StoreOutage {
+	switch f.Kind {
+	case StoreOutage:
 		if err := postFault(r.platform.Addr, `{"outage": true}`); err != nil {
 			return err
 		}
 		sleep(ctx, f.For)
 		return postFault(r.platform.Addr, `{}`)
-	}
-	p, err := r.process(f.Process)
-	if err != nil {
-		return err
-	}
-	switch f.Kind {
 	case Kill:
+		p, err := r.process(f.Process)
+		if err != nil {
+			return err
+		}
 		p.Kill()
 		return nil
 	case Freeze:
+		p, err := r.process(f.Process)
+		if err != nil {
+			return err
+		}
 		if err := p.Freeze(); err != nil {
 			return err
 		}
