--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -106,6 +106,9 @@
 	if err := r.startNodes(ctx); err != nil {
 		return err
 	}
+	if err := r.checkFaults(); err != nil {
+		return err
+	}
 	edit := &revision.Edit{ID: uuid.NewString(), Put: r.objects}
 	if _, err := r.fleet.Operator(r.controllers...).Apply(ctx, edit); err != nil {
 		return err
--- a/internal/experiment/fault.go
+++ b/internal/experiment/fault.go
@@ -39,6 +39,19 @@
 	Process string `json:"process,omitzero"`
 }
 
+// checkFaults checks that every fault has its process.
+func (r *run) checkFaults() error {
+	for _, f := range r.Faults {
+		if f.Kind == StoreOutage {
+			continue
+		}
+		if _, err := r.process(f.Process); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // bringAbout brings about the faults, in the order of the file.
 func (r *run) bringAbout(ctx context.Context) {
 	start := time.Now()
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -28,8 +28,8 @@
 	idleConnsPerHost = 64
 )
 
-// ErrRefused means that every gateway refused for now; the request did not
-// run.
+// ErrRefused means that every gateway refused for now or could not be
+// connected to; the request did not run.
 var ErrRefused = errors.New("every gateway refused for now")
 
 // Caller sends requests for one customer. It may be used by many goroutines.
@@ -83,7 +83,7 @@
 func (c *Caller) Do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	addresses, err := c.Addresses(ctx)
 	if err != nil {
-		return nil, err
+		return nil, errors.WithMessage(ErrRefused, err.Error())
 	}
 	for _, addr := range addresses {
 		var answer *http.Response
@@ -96,7 +96,7 @@
 		}
 	}
 	if err != nil {
-		return nil, errors.Wrap(err, "reach a gateway")
+		return nil, errors.WithMessage(ErrRefused, err.Error())
 	}
 	return nil, ErrRefused
 }
