--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,49 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/pkg/caller"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "caller")
+}
+
+// closedAddress is an address on which nothing listens.
+func closedAddress() string {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+var _ = Describe("a caller", func() {
+	It("knows that a request did not run when no gateway takes it", func() {
+		closed := closedAddress()
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/entry" {
+				_, _ = fmt.Fprintf(w, `{"addresses":[%q,%q],"ttl_seconds":5}`, r.Host, closed)
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, `{"error":{"code":"stale_configuration","not_run":true}}`)
+		}))
+		DeferCleanup(server.Close)
+		for _, seed := range []string{strings.TrimPrefix(server.URL, "http://"), closed} {
+			c := caller.New([]netip.AddrPort{netip.MustParseAddrPort(seed)}, caller.WithKey("key"))
+			_, err := c.Do(context.Background(), http.MethodPost, "/print/order", nil, nil)
+			Expect(err).To(MatchError(caller.ErrRefused))
+		}
+	})
+})
