--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fireflypier.example/fireflypier/internal/assignment"
+	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/member"
 	"fireflypier.example/fireflypier/internal/share"
@@ -22,6 +23,8 @@
 		Members       []member.Member        `json:"members"`
 		Shares        map[string]share.State `json:"shares"`
 		EngineViews   []engineview.View      `json:"engine_views"`
+		Claims        claim.State            `json:"claims"`
+		Ejected       []string               `json:"ejected_targets"`
 		CallerAddress string                 `json:"caller_address"`
 		Schedule      assignment.State       `json:"schedule"`
 	}{
@@ -34,6 +37,8 @@
 		Members:       g.membership.All(),
 		Shares:        g.limiter.Shares(),
 		EngineViews:   g.views.All(),
+		Claims:        g.claims.State(),
+		Ejected:       g.ejected.All(),
 		CallerAddress: g.Addr().String(),
 		Schedule:      g.schedule.State(),
 	}
