--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -63,6 +63,7 @@
 type run struct {
 	*Experiment
 
+	work        *workload.Workload
 	fleet       *fleet.Fleet
 	objects     object.Set
 	platform    *fleet.Standin
@@ -76,12 +77,12 @@
 // Run starts everything in f, runs the workload with or without the faults,
 // and returns the result. say receives what happens, for people.
 func (e *Experiment) Run(ctx context.Context, f *fleet.Fleet, withFaults bool, say func(format string, args ...any)) (*load.Result, error) {
-	r := &run{Experiment: e, fleet: f, targets: map[string]*fleet.Standin{}, say: say}
 	work, err := workload.Read(e.Workload)
 	if err != nil {
 		return nil, err
 	}
-	if err := r.start(ctx, work); err != nil {
+	r := &run{Experiment: e, work: work, fleet: f, targets: map[string]*fleet.Standin{}, say: say}
+	if err := r.start(ctx); err != nil {
 		return nil, err
 	}
 	faults, stopFaults := context.WithCancel(ctx)
@@ -97,7 +98,7 @@
 	return result, result.CheckRan(ctx, r.services)
 }
 
-func (r *run) start(ctx context.Context, work *workload.Workload) error {
+func (r *run) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	if err := r.startStandins(ctx); err != nil {
@@ -106,7 +107,7 @@
 	if err := r.startNodes(ctx); err != nil {
 		return err
 	}
-	if err := r.checkFaults(); err != nil {
+	if err := r.checkFaults(ctx); err != nil {
 		return err
 	}
 	edit := &revision.Edit{ID: uuid.NewString(), Put: r.objects}
@@ -119,7 +120,7 @@
 		}
 	}
 	r.say("%d engines and services, %d gateways and %d controllers run; waiting for the models", len(r.targets), len(r.gateways), len(r.controllers))
-	return r.waitForModels(ctx, work)
+	return r.waitForModels(ctx)
 }
 
 func (r *run) startStandins(ctx context.Context) error {
--- a/internal/experiment/fault.go
+++ b/internal/experiment/fault.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"fireflypier.example/fireflypier/internal/fleet"
-	"fireflypier.example/fireflypier/internal/workload"
 	"fireflypier.example/fireflypier/pkg/caller"
 )
 
@@ -34,18 +34,19 @@
 	At  time.Duration `json:"at"`
 	For time.Duration `json:"for,omitzero"`
 	// Kind is what happens, Process to whom: gateway-N, controller-N or a
-	// target's name; the platform when empty.
+	// target's name, or home:CUSTOMER for the gateway that the customer's
+	// callers use at the time; the platform when empty.
 	Kind    Kind   `json:"kind"`
 	Process string `json:"process,omitzero"`
 }
 
 // checkFaults checks that every fault has its process.
-func (r *run) checkFaults() error {
+func (r *run) checkFaults(ctx context.Context) error {
 	for _, f := range r.Faults {
-		if f.Kind == StoreOutage {
+		if f.Kind == StoreOutage || strings.HasPrefix(f.Process, "home:") {
 			continue
 		}
-		if _, err := r.process(f.Process); err != nil {
+		if _, err := r.process(ctx, f.Process); err != nil {
 			return err
 		}
 	}
@@ -75,14 +76,14 @@
 		sleep(ctx, f.For)
 		return postFault(r.platform.Addr, `{}`)
 	case Kill:
-		p, err := r.process(f.Process)
+		p, err := r.process(ctx, f.Process)
 		if err != nil {
 			return err
 		}
 		p.Kill()
 		return nil
 	case Freeze:
-		p, err := r.process(f.Process)
+		p, err := r.process(ctx, f.Process)
 		if err != nil {
 			return err
 		}
@@ -95,7 +96,10 @@
 	return errors.Errorf("there is no fault %q", f.Kind)
 }
 
-func (r *run) process(name string) (*fleet.Process, error) {
+func (r *run) process(ctx context.Context, name string) (*fleet.Process, error) {
+	if customer, ok := strings.CutPrefix(name, "home:"); ok {
+		return r.home(ctx, customer)
+	}
 	if s, ok := r.targets[name]; ok {
 		return s.Process, nil
 	}
@@ -107,6 +111,25 @@
 	return nil, errors.Errorf("there is no process %q", name)
 }
 
+// home returns the gateway that a customer's callers are told to use first.
+func (r *run) home(ctx context.Context, customer string) (*fleet.Process, error) {
+	c, ok := r.work.Customers[customer]
+	if !ok {
+		return nil, errors.Errorf("there is no customer %q", customer)
+	}
+	addresses, err := caller.New(r.addresses(), caller.WithKey(c.Key), caller.WithDataCentre(c.DataCentre)).Addresses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, g := range r.gateways {
+		if g.Addr == addresses[0] {
+			r.say("the home of %s is %s", customer, g.Name)
+			return g.Process, nil
+		}
+	}
+	return nil, errors.Errorf("customer %s has no home", customer)
+}
+
 func postFault(addr netip.AddrPort, body string) error {
 	answer, err := http.Post("http://"+addr.String()+"/standin/fault", "application/json", bytes.NewBufferString(body))
 	if err != nil {
@@ -121,14 +144,14 @@
 
 // waitForModels waits until each model of the workload answers at each
 // gateway.
-func (r *run) waitForModels(ctx context.Context, work *workload.Workload) error {
-	for i := range work.Streams {
-		s := &work.Streams[i]
+func (r *run) waitForModels(ctx context.Context) error {
+	for i := range r.work.Streams {
+		s := &r.work.Streams[i]
 		if s.Model == "" {
 			continue
 		}
 		for _, g := range r.gateways {
-			c := caller.New([]netip.AddrPort{g.Addr}, caller.WithKey(work.Customers[s.Customer].Key))
+			c := caller.New([]netip.AddrPort{g.Addr}, caller.WithKey(r.work.Customers[s.Customer].Key))
 			if err := fleet.Eventually(ctx, func() error { return ask(ctx, c, s.Model) }); err != nil {
 				return errors.Wrapf(err, "wait for model %s", s.Model)
 			}
