--- a/internal/assignment/speed_test.go
+++ b/internal/assignment/speed_test.go
@@ -49,6 +49,13 @@
 	return list
 }
 
+// mix spreads a number over all bits, as the real block hashes are.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // BenchmarkPlace places requests at engines with room; ending them is not
 // timed.
 func BenchmarkPlace(b *testing.B) {
--- a/internal/assignment/compare_test.go
+++ b/internal/comparison/comparison.go
@@ -1,19 +1,36 @@
-package assignment_test
+// Package comparison compares the real decisions of package assignment with
+// plain baselines, before modelled engines on a fake clock. It serves
+// cmd/comparison and is not part of any process.
+package comparison
 
 import (
 	"cmp"
 	"container/list"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/assignment"
+	"fireflypier.example/fireflypier/internal/catalog"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/object"
 	"fireflypier.example/fireflypier/internal/prefix"
 	"fireflypier.example/fireflypier/internal/queue"
+	"fireflypier.example/fireflypier/internal/request"
+)
+
+// The policies of the tables.
+const (
+	roundRobin       = "round robin"
+	leastOutstanding = "least outstanding"
+	randomTwoChoices = "random two choices"
+	plainOrder       = "plain order"
+	fireflypier      = "fireflypier"
 )
 
 const (
@@ -45,6 +62,8 @@
 // customerWeights are the rates of the customers, as parts of the load.
 var customerWeights = []float64{0.05, 0.05, 0.2, 0.3, 0.4}
 
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // call is one request of a trial.
 type call struct {
 	job        assignment.Job
@@ -158,7 +177,7 @@
 }
 
 func (w *world) deliver(e *modelled, v engineview.View) {
-	if w.policy != "fireflypier" && w.policy != "plain order" {
+	if w.policy != fireflypier && w.policy != plainOrder {
 		return
 	}
 	shares := w.credits(e)
@@ -200,7 +219,12 @@
 func (w *world) submit(customer int) {
 	model := min(int(w.random.ExpFloat64()*4), trialModels-1)
 	group := uint64(customer*trialModels+model)*prefixGroups + uint64(w.random.IntN(prefixGroups))
-	r := newRequest(fmt.Sprint("customer-", customer), fmt.Sprint("model-", model), object.ClassNormal, maxTokens)
+	r := &request.Request{
+		Ticket:    admission.Ticket{Customer: fmt.Sprint("customer-", customer)},
+		Weights:   catalog.Weights{Model: fmt.Sprint("model-", model), Version: version},
+		Class:     object.ClassNormal,
+		MaxTokens: maxTokens, Arrival: w.now, Deadline: w.now.Add(2 * time.Minute),
+	}
 	r.Prompt = make([]byte, (prefixBlocks+ownBlocks)*prefix.BlockBytes)
 	for i := range uint64(prefixBlocks) {
 		r.Prefix = append(r.Prefix, mix(group<<8+i+1))
@@ -208,10 +232,9 @@
 	for range ownBlocks {
 		r.Prefix = append(r.Prefix, w.random.Uint64())
 	}
-	if w.policy == "plain order" {
+	if w.policy == plainOrder {
 		r.Ticket.Customer = "all"
 	}
-	r.Deadline = w.now.Add(2 * time.Minute)
 	c := &call{customer: customer, arrival: w.now, tokens: 1 + min(int(w.random.ExpFloat64()*120), maxTokens-1)}
 	c.job = assignment.Job{Request: r, Weight: customerWeights[customer] * w.requests * 400}
 	w.calls = append(w.calls, c)
@@ -238,12 +261,12 @@
 	replicas := w.replicas[model]
 	pick := 0
 	switch w.policy {
-	case "round robin":
+	case roundRobin:
 		pick = replicas[w.next%len(replicas)]
 		w.next++
-	case "least outstanding":
+	case leastOutstanding:
 		pick = slices.MinFunc(replicas, func(a, b int) int { return own[a] - own[b] })
-	case "random two choices":
+	case randomTwoChoices:
 		pick = replicas[w.random.IntN(len(replicas))]
 		if other := replicas[w.random.IntN(len(replicas))]; own[other] < own[pick] {
 			pick = other
@@ -334,53 +357,56 @@
 |---|---|---|---|---|---|---|---|---|---|
 `
 
-// BenchmarkCompareRouting prints the table of docs/MEASURES.md: the real
-// decisions and plain baselines before modelled engines, on a fake clock.
-func BenchmarkCompareRouting(b *testing.B) {
-	policies := []string{"round robin", "least outstanding", "random two choices", "fireflypier"}
-	for range b.N {
-		table := header
-		for _, t := range []trial{
-			{gateways: 6, requests: 60, reportDelay: 250 * time.Millisecond},
-			{gateways: 6, requests: 80, reportDelay: 250 * time.Millisecond},
-			{gateways: 6, requests: 100, reportDelay: 250 * time.Millisecond},
-			{gateways: 6, requests: 100, reportDelay: 250 * time.Millisecond, homes: true},
-			{gateways: 6, requests: 80, reportDelay: 250 * time.Millisecond, slowEngine: true},
-			{gateways: 6, requests: 80, reportDelay: 2 * time.Second},
-			{gateways: 6, requests: 80, reportDelay: 2 * time.Second, loseEvents: 5},
-			{gateways: 300, requests: 80, reportDelay: 250 * time.Millisecond},
-			{gateways: 300, requests: 80, reportDelay: 250 * time.Millisecond, slowEngine: true},
-			{gateways: 300, requests: 80, reportDelay: 2 * time.Second, loseEvents: 5},
-		} {
-			t.floodCustomer = -1
-			for _, t.policy = range policies {
-				w := newWorld(t)
-				w.run()
-				table += w.result() + "\n"
-			}
-		}
-		fmt.Print(table)
+// Table is a comparison that runs when it is printed.
+type Table struct {
+	policies []string
+	trials   []trial
+}
+
+// Routing compares the choice of engines: loads, late reports, lost events, 6
+// and 300 gateways.
+func Routing() Table {
+	trials := []trial{
+		{gateways: 6, requests: 60, reportDelay: 250 * time.Millisecond},
+		{gateways: 6, requests: 80, reportDelay: 250 * time.Millisecond},
+		{gateways: 6, requests: 100, reportDelay: 250 * time.Millisecond},
+		{gateways: 6, requests: 100, reportDelay: 250 * time.Millisecond, homes: true},
+		{gateways: 6, requests: 80, reportDelay: 250 * time.Millisecond, slowEngine: true},
+		{gateways: 6, requests: 80, reportDelay: 2 * time.Second},
+		{gateways: 6, requests: 80, reportDelay: 2 * time.Second, loseEvents: 5},
+		{gateways: 300, requests: 80, reportDelay: 250 * time.Millisecond},
+		{gateways: 300, requests: 80, reportDelay: 250 * time.Millisecond, slowEngine: true},
+		{gateways: 300, requests: 80, reportDelay: 2 * time.Second, loseEvents: 5},
+	}
+	for i := range trials {
+		trials[i].floodCustomer = -1
 	}
+	return Table{[]string{roundRobin, leastOutstanding, randomTwoChoices, fireflypier}, trials}
 }
 
-// BenchmarkCompareFairness prints the worst-served customer's attainment while
-// one customer sends five times its rate, with plain order and with
-// the fair queue.
-func BenchmarkCompareFairness(b *testing.B) {
-	for range b.N {
-		table := header
-		for _, t := range []trial{
-			{gateways: 1, requests: 70, flood: 5, floodCustomer: 3},
-			{gateways: 6, requests: 70, flood: 5, floodCustomer: 3},
-			{gateways: 6, requests: 70, flood: 5, floodCustomer: 3, homes: true},
-		} {
-			t.reportDelay = 250 * time.Millisecond
-			for _, t.policy = range []string{"least outstanding", "plain order", "fireflypier"} {
-				w := newWorld(t)
-				w.run()
-				table += w.result() + "\n"
+// Fairness compares the worst-served customer's attainment while one customer
+// sends five times its rate, with plain order and with the fair queue.
+func Fairness() Table {
+	return Table{[]string{leastOutstanding, plainOrder, fireflypier}, []trial{
+		{gateways: 1, requests: 70, flood: 5, floodCustomer: 3, reportDelay: 250 * time.Millisecond},
+		{gateways: 6, requests: 70, flood: 5, floodCustomer: 3, reportDelay: 250 * time.Millisecond},
+		{gateways: 6, requests: 70, flood: 5, floodCustomer: 3, reportDelay: 250 * time.Millisecond, homes: true},
+	}}
+}
+
+// Print runs the trials and writes a row for each; equal runs print the same.
+func (t Table) Print(out io.Writer) error {
+	if _, err := io.WriteString(out, header); err != nil {
+		return errors.Wrap(err, "print table")
+	}
+	for _, trial := range t.trials {
+		for _, trial.policy = range t.policies {
+			w := newWorld(trial)
+			w.run()
+			if _, err := fmt.Fprintln(out, w.result()); err != nil {
+				return errors.Wrap(err, "print table")
 			}
 		}
-		fmt.Print(table)
 	}
+	return nil
 }
--- a/internal/assignment/modelled_test.go
+++ b/internal/comparison/modelled.go
@@ -1,4 +1,4 @@
-package assignment_test
+package comparison
 
 import (
 	"container/list"
@@ -12,6 +12,7 @@
 )
 
 const (
+	version            = "2"
 	engineConcurrency  = 32
 	engineCacheBlocks  = 600
 	stepBase           = 10 * time.Millisecond
@@ -144,10 +145,13 @@
 // view is the report of now with the cache events since the last one, of
 // which some are lost.
 func (e *modelled) view() engineview.View {
-	v := view(fmt.Sprint(e.name), engineConcurrency)
+	v := engineview.View{
+		Target: fmt.Sprint(e.name), Concurrency: engineConcurrency, Reachable: true,
+		Loaded: map[engineview.Loaded]bool{}, Adapters: map[string]bool{},
+	}
 	for m, replicas := range e.w.replicas {
 		if slices.Contains(replicas, e.name) {
-			v.Loaded[engineview.Loaded{Kind: "model", Name: fmt.Sprint("model-", m), Version: "2"}] = true
+			v.Loaded[engineview.Loaded{Kind: "model", Name: fmt.Sprint("model-", m), Version: version}] = true
 		}
 	}
 	v.Collected = e.w.now
