--- a/internal/limiter/pull.go
+++ b/internal/limiter/pull.go
@@ -217,6 +217,8 @@
 	reply := &sharepb.PullReply{}
 	reply.Tokens, reply.Available = cu.share.Give(to, tokens, req.GetDemand(), req.GetPartial(), cu.now())
 	cu.limiter.counts.given.Add(reply.GetTokens())
-	reply.Row, reply.RowVersion = cu.encodedRow()
+	if version, _ := cu.share.Version(); version != req.GetRowVersion() {
+		reply.Row, reply.RowVersion = cu.encodedRow()
+	}
 	return reply
 }
