--- a/internal/freshness/model_test.go
+++ b/internal/freshness/model_test.go
@@ -105,7 +105,7 @@
 	}
 	add(12, w.advanceCall)
 	add(0, func() { w.whenRunning(w.read) })
-	add(0, func() { w.whenRunning(func(n *node) { w.exchange(n, w.pick()) }) })
+	add(1, func() { w.whenRunning(func(n *node) { w.exchange(n, w.pick()) }) })
 	add(1, func() { w.whenRunning(w.confirm) })
 	add(1, w.commit)
 	add(4, w.offer)
@@ -378,8 +378,8 @@
 
 // run runs one schedule and returns the first violation and the number of
 // accepted edits and of looks at a fresh node during an outage.
-func (w *world) run(steps int) (violation string, accepted, freshInOutage int) {
-	for range steps {
+func (w *world) run() (violation string, accepted, freshInOutage int) {
+	for range modelSteps {
 		w.act()
 		if v := w.violation(); v != "" {
 			return v, 0, 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,9 @@
 	"fireflypier.example/fireflypier/internal/adoption"
 	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/callerapi"
+	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/dispatch"
+	"fireflypier.example/fireflypier/internal/ejection"
 	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/failure"
@@ -36,6 +38,7 @@
 	"fireflypier.example/fireflypier/internal/plainroute"
 	"fireflypier.example/fireflypier/internal/platform"
 	"fireflypier.example/fireflypier/internal/replica"
+	"fireflypier.example/fireflypier/internal/retry"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
 	"fireflypier.example/fireflypier/internal/share/sharepb"
@@ -51,6 +54,8 @@
 	replica    *replica.Replica
 	adoption   *adoption.Adoption
 	membership *membership.Membership
+	claims     *claim.Claims
+	ejected    *ejection.Ejection
 	views      *engineview.Views
 	entry      *entryPoint
 	leaving    atomic.Bool
@@ -86,24 +91,27 @@
 		opt(g)
 	}
 	g.platform = platform.New(cfg.Platform)
+	registry := prometheus.NewRegistry()
+	g.ejected = ejection.New(g.clock)
+	self := g.self()
 	g.replica = replica.New(replica.Parts{
-		Self: g.self(), Bound: cfg.FreshnessBound, Seeds: cfg.SeedPeers,
+		Self: self, Bound: cfg.FreshnessBound, Seeds: cfg.SeedPeers,
 		Table: g.platform, Objects: g.platform.Objects(),
 		Dialer: g.dialer, Clock: g.clock, Logger: g.logger,
 	})
 	g.adoption = g.replica.Adoption()
 	g.membership = g.replica.Membership()
+	g.claims = g.newClaims(self, registry)
 	g.entry = newEntryPoint(g.membership, g.adoption, cfg.DataCentre)
 	g.limiter = g.newLimiter()
-	if err := g.listen(); err != nil {
+	if err := g.listen(registry); err != nil {
 		return nil, err
 	}
 	g.subscriber = feed.NewSubscriber(cfg.Name, g.dialer, g.controllers, g.deliver, g.clock, g.logger)
 	return g, nil
 }
 
-func (g *Gateway) listen() error {
-	registry := prometheus.NewRegistry()
+func (g *Gateway) listen(registry *prometheus.Registry) error {
 	var err error
 	g.peers, err = peer.Listen(g.cfg.PeerListen, g.logger)
 	if err != nil {
@@ -116,7 +124,7 @@
 	if err := g.replica.Serve(g.peers.Mux()); err != nil {
 		return err
 	}
-	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI().Handler()), g.clock)
+	handler := metrics.NewGateway(registry).Wrap(g.closeWhenLeaving(g.callerAPI(registry).Handler()), g.clock)
 	slowStatus, slowBody := callerapi.RawError(failure.New(failure.RequestTimeout, "the header arrived too slowly"))
 	fullStatus, fullBody := callerapi.RawError(failure.New(failure.Overloaded, "the gateway has too many connections"))
 	g.callers, err = listener.Listen(g.cfg.Listen, handler,
@@ -130,14 +138,20 @@
 	return err
 }
 
-func (g *Gateway) callerAPI() *callerapi.API {
+func (g *Gateway) callerAPI(registry *prometheus.Registry) *callerapi.API {
 	admit := admission.New(g.adoption)
 	g.adoption.OnChange(g.limiter.SetCatalog)
+	budget := retry.NewBudget(g.clock)
+	cfg := &g.cfg.Requests
 	plain := plainroute.New(plainroute.Parts{
-		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter, Leaving: g.views.Leaving,
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter,
+		Claims: g.claims, Budget: budget, Ejection: g.ejected, Leaving: g.views.Leaving,
 		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
-		WriteError: callerapi.WriteError,
+		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
+		MaxRecordedBytes: cfg.MaxRecordedBytes, WriteError: callerapi.WriteError,
 	})
+	engines := engine.NewClient(engine.WithClock(g.clock),
+		engine.WithFrameTimeouts(cfg.FirstFrameTimeout, cfg.FrameTimeout))
 	return callerapi.New(callerapi.Parts{
 		Clock:  g.clock,
 		Logger: g.logger,
@@ -147,12 +161,16 @@
 			RequestTimeout:   g.cfg.RequestTimeout,
 			DefaultMaxTokens: g.cfg.DefaultMaxTokens,
 			EntryTTL:         g.cfg.EntryTTL,
+			WriteTimeout:     cfg.WriteTimeout,
+			MaxRecordedBytes: cfg.MaxRecordedBytes,
 		},
+		Claims:    g.claims,
 		Admission: admit,
 		Limiter:   g.limiter,
-		Dispatch:  dispatch.New(engine.NewClient(), g.schedule(), g.logger),
-		Plain:     plain,
-		Entry:     g.entry,
+		Dispatch: dispatch.New(engines, g.schedule(), g.logger, dispatch.WithClock(g.clock),
+			dispatch.WithRetries(budget, g.ejected), dispatch.WithMetrics(registry)),
+		Plain: plain,
+		Entry: g.entry,
 	})
 }
 
@@ -218,6 +236,7 @@
 	wg.Go(func() { g.replica.Run(background) })
 	wg.Go(func() { g.limiter.Run(background) })
 	wg.Go(func() { g.subscriber.Run(background) })
+	wg.Go(func() { g.claims.Run(background) })
 	wg.Go(func() { g.logError("peers", g.peers.Run(background)) })
 	wg.Go(func() { g.logError("admin", g.admin.Run()) })
 	wg.Go(func() { g.logError("callers", g.callers.Run()) })
