Test the bucket alone; tell an unknown share from a used-up rate

A request for which neither store nor peers tell who holds the rate is now refused with store_unavailable instead of rate_limit_exceeded (test first failed: the kind was rate_limit_exceeded).

--- /dev/null
+++ b/internal/bucket/bucket_test.go
@@ -0,0 +1,115 @@
+package bucket_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"fireflypier.example/fireflypier/internal/bucket"
+)
+
+func TestBucket(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "bucket")
+}
+
+const (
+	rate  = 100.0
+	burst = 200.0
+	slip  = 1e-6
+)
+
+type paid struct {
+	at     time.Time
+	tokens float64
+}
+
+var _ = Describe("a bucket", func() {
+	var now time.Time
+	var b *bucket.Bucket
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		b = full(now)
+	})
+
+	It("returns unused tokens, but not those that would have overflowed", func() {
+		c, ok := b.Take(burst, now)
+		Expect(ok).To(BeTrue())
+		later := now.Add(time.Second)
+		b.Settle(c, 0, later)
+		Expect(b.Available(later)).To(BeNumerically("~", burst, slip))
+
+		c, _ = b.Take(burst, later)
+		later = later.Add(2 * time.Second)
+		again, ok := b.Take(burst, later)
+		Expect(ok).To(BeTrue())
+		b.Settle(c, 0, later)
+		Expect(b.Available(later)).To(BeNumerically("~", 0, slip))
+		b.Settle(again, 50, later)
+		Expect(b.Available(later)).To(BeNumerically("~", 150, slip))
+	})
+
+	It("counts lent tokens against its capacity for a while, and forgets borrowed ones", func() {
+		Expect(b.Lend(80, now)).To(Equal(80.0))
+		soon := now.Add(bucket.LoanLifetime)
+		Expect(b.Available(soon)).To(BeNumerically("<=", 120+slip))
+		b.Borrow(30, now.Add(bucket.LoanLifetime), now.Add(bucket.LoanLifetime/2))
+		Expect(b.Borrowed(soon)).To(BeZero())
+		Expect(b.Available(now.Add(10 * time.Second))).To(BeNumerically("~", burst, slip))
+	})
+
+	It("admits at most burst and rate in any window, refunds included", func() {
+		Expect(flag.Set("rapid.seed", "6")).To(Succeed())
+		Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
+		Expect(flag.Set("rapid.checks", "3000")).To(Succeed())
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			if excess := run(t); excess > slip {
+				t.Fatalf("a window has %.3f tokens too many", excess)
+			}
+		})
+	})
+})
+
+func full(now time.Time) *bucket.Bucket {
+	b := &bucket.Bucket{}
+	b.SetRate(rate, burst, now)
+	b.SetFraction(1, now)
+	b.Join(burst, 0, now)
+	return b
+}
+
+// run takes and settles at random and returns the worst window's excess.
+func run(t *rapid.T) float64 {
+	now := time.Unix(1000, 0)
+	b := full(now)
+	var open []bucket.Charge
+	var costs []int
+	var all []paid
+	for range 200 {
+		now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+		tokens := float64(rapid.IntRange(1, int(burst)).Draw(t, "tokens"))
+		if c, ok := b.Take(tokens, now); ok {
+			open = append(open, c)
+			costs = append(costs, len(all))
+			all = append(all, paid{now, tokens})
+		}
+		if i := rapid.IntRange(0, 2*len(open)).Draw(t, "settle"); i < len(open) {
+			a := &all[costs[i]]
+			a.tokens *= rapid.Float64Range(0, 1).Draw(t, "used")
+			b.Settle(open[i], a.tokens, now)
+			open = append(open[:i], open[i+1:]...)
+			costs = append(costs[:i], costs[i+1:]...)
+		}
+	}
+	worst, sum, last := 0.0, 0.0, time.Time{}
+	for _, a := range all {
+		sum = max(0, sum-rate*a.at.Sub(last).Seconds()) + a.tokens
+		last = a.at
+		worst = max(worst, sum-burst)
+	}
+	return worst
+}
--- a/internal/limiter/customer.go
+++ b/internal/limiter/customer.go
@@ -103,6 +103,9 @@
 // refuse counts a refused request; wait is when its tokens will be there.
 func (cu *customer) refuse(tokens float64, wait time.Duration) error {
 	cu.limiter.counts.refused.Add(tokens)
+	if version, _ := cu.share.Version(); version == 0 {
+		return failure.New(failure.StoreUnavailable, "the share of customer %s cannot be read", cu.name)
+	}
 	return failure.New(failure.RateExceeded, "the rate of customer %s is used up", cu.name).
 		WithRetryAfter(max(leastRetryAfter, wait))
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -128,7 +128,8 @@
 
 // Take charges a customer with tokens; a request that lacks tokens waits a
 // short time for them. The errors are RateExceeded, with the time after which
-// the tokens will be there, RequestTooCostly, StaleConfiguration and Canceled.
+// the tokens will be there, RequestTooCostly, StaleConfiguration, Canceled, and
+// StoreUnavailable while neither store nor peers tell who holds the rate.
 func (l *Limiter) Take(ctx context.Context, customer string, tokens float64) (Charge, error) {
 	cu, err := l.customer(customer)
 	if err != nil {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -121,6 +121,12 @@
 		Expect(failure.Is(err, failure.RateExceeded)).To(BeTrue())
 	})
 
+	It("says that the store is out when nobody knows who holds the rate", func() {
+		g.store.SetFault(tablestore.Fault{Outage: true})
+		_, err := a.Take(ctx, customer, 1)
+		Expect(failure.Is(err, failure.StoreUnavailable)).To(BeTrue())
+	})
+
 	It("gives back what a request did not use", func() {
 		charge, err := a.Take(ctx, customer, 1000)
 		Expect(err).NotTo(HaveOccurred())
