--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/member"
@@ -25,6 +26,7 @@
 		Claims        claim.State            `json:"claims"`
 		Ejected       []string               `json:"ejected_targets"`
 		CallerAddress string                 `json:"caller_address"`
+		Schedule      assignment.State       `json:"schedule"`
 	}{
 		Self:          g.membership.Self(),
 		Revision:      g.adoption.Current().Revision(),
@@ -38,5 +40,6 @@
 		Claims:        g.claims.State(),
 		Ejected:       g.ejected.All(),
 		CallerAddress: g.Addr().String(),
+		Schedule:      g.schedule.State(),
 	}
 }
