--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -62,6 +62,14 @@
 	b.trim()
 }
 
+// Empty drops the own tokens, and what earlier charges could return.
+func (b *Bucket) Empty(now time.Time) {
+	b.advance(now)
+	b.level = 0
+	b.charges++
+	b.marks.add(b.charges, 0)
+}
+
 // Reserve counts a part of the capacity as lent, for a fraction whose former
 // holder may have lent tokens that are still in use.
 func (b *Bucket) Reserve(fraction float64, now time.Time) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -108,6 +108,17 @@
 	return l
 }
 
+// reserve returns the gateway of the own region that holds a part of a
+// customer's rate when this one would be the only holder.
+func (l *Limiter) reserve(customer string) (h share.Holder, ok bool) {
+	for _, h := range l.parts.Gateways(customer) {
+		if h.Region == l.parts.Self.Region {
+			return h, true
+		}
+	}
+	return share.Holder{}, false
+}
+
 // SetCatalog gives the limiter the rates in force.
 func (l *Limiter) SetCatalog(c *catalog.Catalog) {
 	l.mu.Lock()
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -31,8 +31,10 @@
 	clock    clockwork.Clock
 	limiters []*limiter.Limiter
 	fresh    error
-	vms      atomic.Pointer[[]vmlist.VM]
-	listed   atomic.Int64
+	// lost is the number of the gateway that answers no more, from one.
+	lost   int
+	vms    atomic.Pointer[[]vmlist.VM]
+	listed atomic.Int64
 }
 
 // VMs implements vmlist.List.
@@ -54,17 +56,18 @@
 // Pull implements limiter.Peers.
 func (g *group) Pull(ctx context.Context, h *share.Holder, req *sharepb.PullRequest) (*sharepb.PullReply, error) {
 	i := int(h.Address.Port()) - 1
-	if i >= len(g.limiters) {
+	if i >= len(g.limiters) || i == g.lost-1 {
 		return nil, errors.New("no such gateway")
 	}
 	return g.limiters[i].Server().Pull(ctx, req)
 }
 
 func (g *group) add(rates *catalog.Catalog) *limiter.Limiter {
+	self := len(g.limiters)
 	l := limiter.New(limiter.Parts{
 		Clock: g.clock, Logger: hclog.NewNullLogger(), Table: g.store, Peers: g,
-		Self:     holder(len(g.limiters)),
-		Gateways: func(string) []share.Holder { return []share.Holder{holder(0)} },
+		Self:     holder(self),
+		Gateways: func(string) []share.Holder { return g.others(self) },
 		Fresh:    func() error { return g.fresh },
 		VMs:      g,
 	})
@@ -73,6 +76,17 @@
 	return l
 }
 
+// others returns the holders of the group without the given one.
+func (g *group) others(self int) []share.Holder {
+	var others []share.Holder
+	for i := range g.limiters {
+		if i != self {
+			others = append(others, holder(i))
+		}
+	}
+	return others
+}
+
 func ratesOf(customers int, rate object.Rate) *catalog.Catalog {
 	s := revision.Empty()
 	s.Objects = object.Set{Rates: map[string]object.Rate{"r": rate}, Customers: map[string]object.Customer{}}
@@ -121,6 +135,14 @@
 		Expect(failure.Is(err, failure.RateExceeded)).To(BeTrue())
 	})
 
+	It("leaves a part at another gateway, so that the loss of the only holder leaves something", func() {
+		_, err := a.Take(ctx, customer, 100)
+		Expect(err).NotTo(HaveOccurred())
+		g.lost = 1
+		_, err = b.Take(ctx, customer, 50)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("says that the store is out when nobody knows who holds the rate", func() {
 		g.store.SetFault(tablestore.Fault{Outage: true})
 		_, err := a.Take(ctx, customer, 1)
--- a/internal/limiter/pull.go
+++ b/internal/limiter/pull.go
@@ -184,14 +184,12 @@
 func (l *Limiter) Server() *Server { return &Server{limiter: l} }
 
 // Pull implements sharepb.DRPCSharesServer. The tokens are debited before the
-// answer is sent; when the answer is lost, so are they.
+// answer is sent; when the answer is lost, so are they. A gateway that has had
+// no request of the customer may hold a reserve that it learns of here.
 func (s *Server) Pull(_ context.Context, req *sharepb.PullRequest) (*sharepb.PullReply, error) {
-	l := s.limiter
-	l.mu.RLock()
-	cu, ok := l.customers[req.GetCustomer()]
-	l.mu.RUnlock()
-	if !ok {
-		return &sharepb.PullReply{}, nil
+	cu, err := s.limiter.customer(req.GetCustomer())
+	if err != nil {
+		return nil, err
 	}
 	address, err := netip.ParseAddrPort(req.GetAddress())
 	if err != nil {
--- a/internal/share/proposal.go
+++ b/internal/share/proposal.go
@@ -18,6 +18,8 @@
 	// leadFactor is by how much a demand must exceed that of a holder before
 	// the share moves there.
 	leadFactor = 3
+	// reserveParts is what the second holder of a share has at least.
+	reserveParts = Whole / 10
 	// idleDemand is the demand in tokens a second below which a gateway
 	// needs no share.
 	idleDemand = 0.5
@@ -84,7 +86,7 @@
 		return s.giveAll(now)
 	}
 	steps := []func(time.Time) *Proposal{
-		s.create, s.objectToSuspicion, s.succeed, s.claimFree, s.takeGone, s.takeBack, s.rebalance,
+		s.create, s.objectToSuspicion, s.succeed, s.claimFree, s.takeGone, s.takeBack, s.rebalance, s.keepReserve,
 	}
 	for _, step := range steps {
 		if p := step(now); p != nil {
@@ -308,8 +310,9 @@
 // them.
 func (s *Share) give(lacks map[string]int64, now time.Time) *Proposal {
 	p := s.unchanged()
+	floor := s.floor(lacks)
 	for _, id := range slices.Sorted(maps.Keys(lacks)) {
-		parts := min(lacks[id], p.keep)
+		parts := min(lacks[id], p.keep-floor)
 		if parts < min(moveParts, s.inUse) {
 			continue
 		}
@@ -323,6 +326,39 @@
 	return p
 }
 
+// floor returns the parts that this gateway keeps whatever its demand: those
+// of a reserve when only one other gateway would hold the share.
+func (s *Share) floor(lacks map[string]int64) int64 {
+	others := map[string]bool{}
+	for _, h := range s.Peers() {
+		others[h.Incarnation] = true
+	}
+	for id := range lacks {
+		others[id] = true
+	}
+	if _, ok := s.reserve(); !ok || len(others) > 1 {
+		return 0
+	}
+	return reserveParts
+}
+
+// keepReserve gives a part to another gateway while this one is the only
+// holder.
+func (s *Share) keepReserve(now time.Time) *Proposal {
+	if len(s.row.Holders) != 1 || s.inUse <= reserveParts || !s.Usable(now) {
+		return nil
+	}
+	other, ok := s.reserve()
+	if !ok {
+		return nil
+	}
+	p := s.unchanged()
+	s.split(p, other, reserveParts, now)
+	p.Row.setParts(s.self.Incarnation, p.keep)
+	s.movedAt = now
+	return p
+}
+
 // split moves parts with their tokens from this gateway to another in p.
 func (s *Share) split(p *Proposal, to Holder, parts int64, now time.Time) {
 	tokens, lent := s.bucket.Split(float64(parts)/float64(p.keep), now)
--- a/internal/share/row.go
+++ b/internal/share/row.go
@@ -31,6 +31,9 @@
 	Received float64 `json:"received,omitzero"`
 	// Lent counts the tokens that givers of those shares had lent.
 	Lent float64 `json:"lent,omitzero"`
+	// Joined is the number of this entry: a holder that was taken out and
+	// added again has another, even when it saw neither.
+	Joined int64 `json:"joined"`
 }
 
 // succeeds reports whether h is a later process of the same name on the same
@@ -47,6 +50,8 @@
 	// Accuser the one that does so; both may be empty.
 	Suspect string `json:"suspect,omitzero"`
 	Accuser string `json:"accuser,omitzero"`
+	// Joins counts the entries ever added.
+	Joins int64 `json:"joins"`
 }
 
 // DecodeRow reads the content of a share row.
@@ -104,6 +109,8 @@
 		h.Parts = 0
 		h.Received = 0
 		h.Lent = 0
+		r.Joins++
+		h.Joined = r.Joins
 		r.Holders = append(r.Holders, h)
 		i = len(r.Holders) - 1
 	}
--- a/internal/share/schemes_test.go
+++ b/internal/share/schemes_test.go
@@ -83,9 +83,9 @@
 func (s *shares) start(site int, now time.Time) {
 	s.life[site]++
 	for c := range customers {
-		opts := []share.Option{share.WithGone(s.gone)}
+		opts := []share.Option{share.WithGone(s.gone), s.reserveOf(site)}
 		if s.watched {
-			opts = []share.Option{share.WithWitness(s, silenceTime)}
+			opts = []share.Option{share.WithWitness(s, silenceTime), s.reserveOf(site)}
 		}
 		k := &keeper{share: share.New(s.holder(site), opts...)}
 		k.share.SetRate(customerRate, customerBurst, now)
@@ -93,6 +93,14 @@
 	}
 }
 
+// reserveOf names the next site as a site's reserve.
+func (s *shares) reserveOf(site int) share.Option {
+	return share.WithReserve(func() (share.Holder, bool) {
+		next := (site + 1) % sites
+		return s.holder(next), !s.killed || next != 0
+	})
+}
+
 func (s *shares) take(now time.Time, site, c int, cost float64, first bool) bool {
 	k := s.keepers[site][c]
 	if first {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -38,6 +38,7 @@
 	bound   time.Duration
 	witness Witness
 	gone    func(h *Holder) bool
+	reserve func() (h Holder, ok bool)
 
 	bucket bucket.Bucket
 	rate   float64
@@ -49,7 +50,9 @@
 	read    bool
 	readAt  time.Time
 	// proved is when the share was last known to be the gateway's own.
-	proved   time.Time
+	proved time.Time
+	// joined numbers the own entry that received and receivedLent belong to.
+	joined   int64
 	received float64
 	// receivedLent belongs to received.
 	receivedLent float64
@@ -84,9 +87,20 @@
 	return func(s *Share) { s.gone = gone }
 }
 
+// WithReserve names a gateway that gets a part without any demand while this
+// one is the only holder, so that the loss of one gateway never leaves the
+// customer nothing. reserve reports false when there is no other gateway.
+func WithReserve(reserve func() (h Holder, ok bool)) Option {
+	return func(s *Share) { s.reserve = reserve }
+}
+
 // New returns the share of a gateway that holds nothing yet.
 func New(self Holder, opts ...Option) *Share {
-	s := &Share{self: self, wants: map[string]want{}, gone: func(*Holder) bool { return false }}
+	s := &Share{
+		self: self, wants: map[string]want{},
+		gone:    func(*Holder) bool { return false },
+		reserve: func() (Holder, bool) { return Holder{}, false },
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -195,6 +209,12 @@
 	mine, _ := row.Holder(s.self.Incarnation)
 	gained := mine.Parts - s.inUse
 	s.use(mine.Parts, now)
+	if mine.Joined != s.joined {
+		s.bucket.Empty(now)
+		s.joined = mine.Joined
+		s.received = 0
+		s.receivedLent = 0
+	}
 	if gained > 0 && claimed {
 		s.bucket.Reserve(fractionOf(gained), now)
 	}
--- a/internal/share/world_test.go
+++ b/internal/share/world_test.go
@@ -119,7 +119,7 @@
 	g.alive = true
 	g.paused = false
 	g.started = g.w.now
-	opts := []share.Option{share.WithWitness(g, worldBound)}
+	opts := []share.Option{share.WithWitness(g, worldBound), share.WithReserve(g.reserve)}
 	if g.id >= voters {
 		opts = append(opts, share.WithGone(g.w.gone))
 	}
@@ -133,6 +133,17 @@
 	g.adoptRate()
 }
 
+// reserve returns the next gateway that lives.
+func (g *gateway) reserve() (share.Holder, bool) {
+	for i := 1; i < len(g.w.gateways); i++ {
+		other := g.w.gateways[(g.id+i)%len(g.w.gateways)]
+		if other.alive {
+			return other.holder(), true
+		}
+	}
+	return share.Holder{}, false
+}
+
 // gone reports whether the process of a holder has ended.
 func (w *world) gone(h *share.Holder) bool {
 	for _, g := range w.gateways {
