--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -49,6 +49,7 @@
 // tokens. Tokens above a lower burst are dropped.
 func (b *Bucket) SetRate(rate, burst float64, now time.Time) {
 	b.advance(now)
+	b.mark()
 	b.rate = rate
 	b.burst = burst
 	b.trim()
@@ -58,6 +59,7 @@
 // above the new capacity are dropped; a larger capacity begins empty.
 func (b *Bucket) SetFraction(fraction float64, now time.Time) {
 	b.advance(now)
+	b.mark()
 	b.fraction = fraction
 	b.trim()
 }
--- a/internal/bucket/bucket_test.go
+++ b/internal/bucket/bucket_test.go
@@ -36,6 +36,23 @@
 		b = full(now)
 	})
 
+	It("returns nothing that overflowed before its fraction or its burst grew", func() {
+		b.SetFraction(0.5, now)
+		c, ok := b.Take(burst/2, now)
+		Expect(ok).To(BeTrue())
+		later := now.Add(time.Minute)
+		b.SetFraction(1, later)
+		b.Settle(c, 0, later)
+		Expect(b.Available(later)).To(BeNumerically("~", burst/2, slip))
+
+		c, ok = b.Take(burst/2, later)
+		Expect(ok).To(BeTrue())
+		later = later.Add(time.Minute)
+		b.SetRate(rate, 2*burst, later)
+		b.Settle(c, 0, later)
+		Expect(b.Available(later)).To(BeNumerically("~", burst, slip))
+	})
+
 	It("returns unused tokens, but not those that would have overflowed", func() {
 		c, ok := b.Take(burst, now)
 		Expect(ok).To(BeTrue())
