--- a/internal/peer/dialer.go
+++ b/internal/peer/dialer.go
@@ -14,7 +14,7 @@
 
 const (
 	dialTimeout        = time.Second
-	idleExpiration     = 30 * time.Second
+	idleExpiration     = 5 * time.Second
 	connectionsPerPeer = 4
 	connectionsInAll   = 512
 )
--- a/internal/replica/scale_test.go
+++ b/internal/replica/scale_test.go
@@ -330,7 +330,7 @@
 //
 //	go test ./internal/replica -run '^$' -bench Site -benchtime 1x
 func BenchmarkSite(b *testing.B) {
-	for _, nodes := range []int{8, 32, 128, 320} {
+	for _, nodes := range []int{8, 32, 64, 128, 320} {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
 			for range b.N {
 				measureSite(b, nodes)
--- a/tests/config_test.go
+++ b/tests/config_test.go
@@ -75,9 +75,14 @@
 	return f
 }
 
+// nextSource returns the address of the next process.
+func (f *stateFleet) nextSource() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 0, 1, byte(len(f.seeds) + 1)})
+}
+
 // guard puts the proxies round a process whose settings are given.
 func (f *stateFleet) guard(cfg *settings.Process) *guardedNode {
-	source := netip.AddrFrom4([4]byte{127, 0, 1, byte(len(f.seeds) + 1)})
+	source := f.nextSource()
 	cfg.PeerListen = netip.AddrPortFrom(source, cfg.PeerListen.Port())
 	store, err := faultproxy.Start(f.platform.Addr)
 	Expect(err).NotTo(HaveOccurred())
@@ -328,29 +333,39 @@
 		stale := f.gateways[2]
 
 		By("leaving one gateway behind, and losing the store right after the commit")
-		stale.store.SetFault(faultproxy.Fault{Refuse: true})
-		stale.store.CutAll()
-		freeze(stale)
+		others := append(f.gateways[:2:2], f.controllers...)
+		cutFromStore(stale)
+		cutBetween([]*guardedNode{stale, {peers: stale.peers, source: f.nextSource()}}, others)
 		withdrawn := f.apply(ctx, &revision.Edit{Delete: []string{"key/circle-1"}})
 		f.fault(ctx, `{"outage":true}`)
 		f.accepted(ctx, withdrawn.Revision)
 
-		By("starting a gateway that knows the stale one alone, which hears of nobody else")
-		cutBetween([]*guardedNode{stale}, append(f.gateways[:2:2], f.controllers...))
-		thaw(stale)
+		time.Sleep(withdrawalBound)
+
+		By("starting a gateway that reaches the stale one alone: it refuses rather than serve the old set")
 		fresh := f.startGateway(ctx, "gateway-fresh", "region-1", func(cfg *settings.Gateway) {
 			cfg.SeedPeers = []netip.AddrPort{stale.seed}
 		})
 		Expect(fleet.Eventually(ctx, func() error {
-			a := order(ctx, fresh, circleKey)
-			Expect(a.status).NotTo(Equal(http.StatusOK))
 			d, err := dumpOf(ctx, fresh.Node)
-			if err == nil && d.Revision < withdrawn.Revision {
-				err = errors.New("the fresh gateway is behind")
+			if err == nil && d.Revision == 0 {
+				err = errors.New("the fresh gateway has no configuration")
 			}
 			return err
 		})).To(Succeed())
+		end := time.Now().Add(6 * time.Second)
+		for time.Now().Before(end) {
+			a := order(ctx, fresh, circleKey)
+			Expect(a.status).To(Equal(http.StatusServiceUnavailable), a.body)
+			time.Sleep(50 * time.Millisecond)
+		}
+
+		By("letting it reach the others")
+		for _, n := range append(others, stale) {
+			n.peers.SetFault(faultproxy.Fault{})
+		}
 		Expect(fresh.Ready(ctx)).To(Succeed())
+		atRevision(ctx, fresh, withdrawn.Revision)
 		Expect(order(ctx, fresh, dealerKey).status).To(Equal(http.StatusOK))
 		Expect(order(ctx, fresh, circleKey).status).To(Equal(http.StatusUnauthorized))
 	})
