--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,6 +35,7 @@
 	"fireflypier.example/fireflypier/internal/replica"
 	"fireflypier.example/fireflypier/internal/revision"
 	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/internal/shardplan"
 )
 
 const (
@@ -67,6 +68,7 @@
 	peers       *peer.Server
 	operators   *listener.Listener
 	admin       *listener.Listener
+	registry    *prometheus.Registry
 	done        chan struct{}
 }
 
@@ -86,6 +88,7 @@
 		clock:     clockwork.NewRealClock(),
 		logger:    hclog.NewNullLogger(),
 		publisher: feed.NewPublisher(),
+		registry:  prometheus.NewRegistry(),
 		dialer:    peer.NewDialer(peer.WithSource(cfg.PeerListen.Addr())),
 		done:      make(chan struct{}),
 	}
@@ -97,11 +100,13 @@
 	engines := engine.NewClient()
 	c.collector = collector.New(engines, c.publisher, c.engines, cfg.CollectInterval, c.clock, c.logger)
 	c.planner = planner.New(planner.Parts{
+		Name: cfg.Name, Incarnation: c.membership.Self().Incarnation,
 		Table: c.platform, Engines: engines, Reports: c.collector.Reports,
-		Objects: c.objects, Owns: c.owns, Interval: cfg.PlanInterval,
-		Clock: c.clock, Logger: c.logger,
+		Objects: c.objects, Controllers: c.controllers, Interval: cfg.PlanInterval,
+		Clock: c.clock, Logger: c.logger, Metrics: planner.NewMetrics(c.registry),
 	})
-	c.departures = departure.New(c.platform, c.targets, c.publisher.SetLeaving, c.clock, c.logger)
+	c.publisher.OnDemand(c.planner.DemandReport)
+	c.departures = departure.New(c.platform, c.targets, c.setLeaving, c.clock, c.logger)
 	if err := c.listen(); err != nil {
 		return nil, err
 	}
@@ -150,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	c.admin, err = listener.Listen(c.cfg.AdminListen, adminapi.New(prometheus.NewRegistry(), c.ready, c.status).Handler())
+	c.admin, err = listener.Listen(c.cfg.AdminListen, adminapi.New(c.registry, c.ready, c.status).Handler())
 	return err
 }
 
@@ -186,29 +191,25 @@
 // owns reports whether this controller is the first choice for a pool among
 // the live controllers.
 func (c *Controller) owns(pool string) bool {
-	var names []string
-	for _, m := range c.membership.Live(member.Controller) {
-		names = append(names, m.Name)
-	}
-	return rendezvous.First(pool, names) == c.cfg.Name
+	return rendezvous.First(pool, c.controllers()) == c.cfg.Name
 }
 
 // engines returns the engines whose reports this controller collects.
-func (c *Controller) engines() map[string]object.Target {
-	objects := c.objects()
-	engines := map[string]object.Target{}
-	for name, t := range objects.Targets {
-		if objects.Pools[t.Pool].Kind == object.PoolEngines && c.owns(t.Pool) {
-			engines[name] = t
-		}
+func (c *Controller) engines() map[string]object.Target { return c.planner.Targets() }
+
+// controllers returns the names of the live controllers.
+func (c *Controller) controllers() []string {
+	var names []string
+	for _, m := range c.membership.Live(member.Controller) {
+		names = append(names, m.Name)
 	}
-	return engines
+	return names
 }
 
 // targets returns the targets whose departure this controller tells.
 func (c *Controller) targets() map[string]object.Target {
 	objects := c.objects()
-	targets := map[string]object.Target{}
+	targets := c.planner.Targets()
 	for name, t := range objects.Targets {
 		if c.owns(t.Pool) {
 			targets[name] = t
@@ -217,13 +218,20 @@
 	return targets
 }
 
+// setLeaving tells gateways and the planner which targets are leaving.
+func (c *Controller) setLeaving(targets map[string]bool) {
+	c.publisher.SetLeaving(targets)
+	c.planner.SetLeaving(targets)
+}
+
 func (c *Controller) status() any {
 	return struct {
 		Self     member.Member                  `json:"self"`
 		Revision int64                          `json:"revision"`
 		Members  []member.Member                `json:"members"`
+		Shards   []shardplan.Status             `json:"shards"`
 		Engines  map[string]collector.Collected `json:"engines"`
-	}{c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(), c.collector.Reports()}
+	}{c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(), c.planner.Status(), c.collector.Reports()}
 }
 
 // Addr returns the address on which operators are served.
