--- a/tests/withdrawal_test.go
+++ b/tests/withdrawal_test.go
@@ -80,12 +80,14 @@
 
 		By("freezing a gateway past its bound while the key is withdrawn")
 		frozen := f.gateways[2]
+		cutFromStore(frozen)
+		cutBetween([]*guardedNode{frozen}, f.allBut(frozen))
 		freeze(frozen)
 		accepted := f.withdraw(ctx)
 		time.Sleep(time.Until(accepted.Add(withdrawalBound)))
 		Expect(use()).To(Equal(http.StatusUnauthorized))
 
-		By("thawing it with requests already waiting at its door")
+		By("thawing it with requests already waiting at its door, before any news reaches it")
 		answers := make(chan answer, 8)
 		for range cap(answers) {
 			go func() {
@@ -100,6 +102,10 @@
 			Expect(a.status).To(BeElementOf(http.StatusUnauthorized, http.StatusServiceUnavailable), a.body)
 			Expect(a.body).To(ContainSubstring(`"not_run":true`))
 		}
+		frozen.store.SetFault(faultproxy.Fault{})
+		for _, n := range append(f.allBut(frozen), frozen) {
+			n.peers.SetFault(faultproxy.Fault{})
+		}
 		refusedAfter(ctx, accepted, f.gateways...)
 		Expect(frozen.Ready(ctx)).To(Succeed())
 		Expect(order(ctx, frozen, dealerKey).status).To(Equal(http.StatusOK))
