--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	ejected    *ejection.Ejection
 	views      *engineview.Views
 	entry      *entryPoint
+	schedule   *schedule.Schedule
 	leaving    atomic.Bool
 	limiter    *limiter.Limiter
 	subscriber *feed.Subscriber
@@ -119,6 +120,7 @@
 	if err != nil {
 		return err
 	}
+	g.schedule = g.newSchedule(registry)
 	if err := sharepb.DRPCRegisterShares(g.peers.Mux(), g.limiter.Server()); err != nil {
 		return errors.Wrap(err, "serve shares")
 	}
@@ -169,18 +171,19 @@
 		Claims:    g.claims,
 		Admission: admit,
 		Limiter:   g.limiter,
-		Dispatch: dispatch.New(engines, g.schedule(), g.logger, dispatch.WithClock(g.clock),
+		Dispatch: dispatch.New(engines, g.schedule, g.logger, dispatch.WithClock(g.clock),
 			dispatch.WithRetries(budget, g.ejected), dispatch.WithMetrics(registry)),
 		Plain: plain,
 		Entry: g.entry,
 	})
 }
 
-func (g *Gateway) schedule() *schedule.Schedule {
+func (g *Gateway) newSchedule(registry *prometheus.Registry) *schedule.Schedule {
 	return schedule.New(g.views,
 		schedule.WithClock(g.clock),
 		schedule.WithWeight(g.weight),
 		schedule.WithMeter(g.meter),
+		schedule.WithMetrics(registry),
 		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
 }
 
