--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -48,8 +48,12 @@
 	return &Suspicion{self: self, entries: map[string]*entry{}}
 }
 
-// Failed records that a member could not be reached.
+// Failed records that a member could not be reached. A process does not
+// suspect itself.
 func (s *Suspicion) Failed(incarnation string, now time.Time) {
+	if incarnation == s.self {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entry(incarnation)
