--- a/internal/share/row.go
+++ b/internal/share/row.go
@@ -29,6 +29,8 @@
 	// Received counts the tokens that came with shares since the holder is
 	// in the row.
 	Received float64 `json:"received,omitzero"`
+	// Lent counts the tokens that givers of those shares had lent.
+	Lent float64 `json:"lent,omitzero"`
 }
 
 // succeeds reports whether h is a later process of the same name on the same
@@ -96,16 +98,18 @@
 }
 
 // add gives parts and tokens to h, which joins the row when it is new.
-func (r *Row) add(h Holder, parts int64, tokens float64) {
+func (r *Row) add(h Holder, parts int64, tokens, lent float64) {
 	i := r.index(h.Incarnation)
 	if i < 0 {
 		h.Parts = 0
 		h.Received = 0
+		h.Lent = 0
 		r.Holders = append(r.Holders, h)
 		i = len(r.Holders) - 1
 	}
 	r.Holders[i].Parts += parts
 	r.Holders[i].Received += tokens
+	r.Holders[i].Lent += lent
 }
 
 // remove takes an incarnation out of the row.
