--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -38,6 +38,17 @@
 	return t.Store.Commit(ctx, tx)
 }
 
+// gatedTable holds commits back until it is opened.
+type gatedTable struct {
+	*tablestore.Store
+	open chan struct{}
+}
+
+func (t *gatedTable) Commit(ctx context.Context, tx table.Tx) (int64, error) {
+	<-t.open
+	return t.Store.Commit(ctx, tx)
+}
+
 var _ = Describe("claims", func() {
 	ctx := context.Background()
 
@@ -86,12 +97,13 @@
 	})
 
 	It("removes a row whose insertion was given up", func() {
-		store := tablestore.New()
+		store := &gatedTable{Store: tablestore.New(), open: make(chan struct{})}
 		canceled, cancel := context.WithCancel(ctx)
 		cancel()
 		c := newClaims(store, clockwork.NewRealClock(), "gateway")
 		_, _, err := c.Claim(canceled, named("1"))
 		Expect(err).To(HaveOccurred())
+		close(store.open)
 		c.writers.Wait()
 		Expect(store.Scan(ctx, RowPrefix)).To(BeEmpty())
 		held, _, err := c.Claim(ctx, named("1"))
