--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -23,9 +23,10 @@
 	clock  clockwork.Clock
 	weight func(customer string) float64
 	parts  []assignment.Option
+	meter  Meter
 
 	registry prometheus.Registerer
-	waits    prometheus.Counter
+	waited   prometheus.Counter
 	refused  prometheus.Counter
 
 	mu         sync.Mutex
@@ -76,7 +77,7 @@
 }
 
 func (s *Schedule) register() {
-	s.waits = prometheus.NewCounter(prometheus.CounterOpts{
+	s.waited = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflypier_waits_total", Help: "Attempts that had to wait for an engine.",
 	})
 	s.refused = prometheus.NewCounter(prometheus.CounterOpts{
@@ -88,7 +89,7 @@
 	waiting := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "fireflypier_requests_waiting", Help: "Requests that wait for an engine.",
 	}, func() float64 { return float64(s.Waiting()) })
-	s.registry.MustRegister(waiting, s.waits, s.refused)
+	s.registry.MustRegister(waiting, s.waited, s.refused)
 }
 
 // State returns the state for dumps.
@@ -125,6 +126,7 @@
 // expected before the deadline), DeadlineExceeded, NoReplica (no engine had
 // the weights until the deadline) and Canceled.
 func (s *Schedule) Acquire(ctx context.Context, r *request.Request, exclude []string) (*Place, error) {
+	s.arrived(r, exclude)
 	p := &Place{schedule: s}
 	p.job = assignment.Job{Request: r, Exclude: exclude, Weight: s.weight(r.Ticket.Customer)}
 	if s.submit(&p.job) {
@@ -133,7 +135,9 @@
 		}
 		return p.placed()
 	}
-	s.waits.Inc()
+	s.waited.Inc()
+	ended := s.waits(&p.job)
+	defer ended()
 	ready := make(chan struct{})
 	if s.wait(&p.job, ready) {
 		select {
