--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,8 +182,8 @@
 	return schedule.New(g.views,
 		schedule.WithClock(g.clock),
 		schedule.WithWeight(g.weight),
-		schedule.WithMetrics(registry),
 		schedule.WithMeter(g.meter),
+		schedule.WithMetrics(registry),
 		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -26,7 +26,7 @@
 	meter  Meter
 
 	registry prometheus.Registerer
-	waited   prometheus.Counter
+	waiting  prometheus.Counter
 	refused  prometheus.Counter
 
 	mu         sync.Mutex
@@ -77,7 +77,7 @@
 }
 
 func (s *Schedule) register() {
-	s.waited = prometheus.NewCounter(prometheus.CounterOpts{
+	s.waiting = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "fireflypier_waits_total", Help: "Attempts that had to wait for an engine.",
 	})
 	s.refused = prometheus.NewCounter(prometheus.CounterOpts{
@@ -89,7 +89,7 @@
 	waiting := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "fireflypier_requests_waiting", Help: "Requests that wait for an engine.",
 	}, func() float64 { return float64(s.Waiting()) })
-	s.registry.MustRegister(waiting, s.waited, s.refused)
+	s.registry.MustRegister(waiting, s.waiting, s.refused)
 }
 
 // State returns the state for dumps.
@@ -135,7 +135,7 @@
 		}
 		return p.placed()
 	}
-	s.waited.Inc()
+	s.waiting.Inc()
 	ended := s.waits(&p.job)
 	defer ended()
 	ready := make(chan struct{})
