--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -302,7 +302,7 @@
 // update replaces the view of e; the index changes only when the models do.
 func (a *Assignment) update(e *engine, v *engineview.View, now time.Time) {
 	models := modelsOf(v)
-	if !equal(models, e.models) {
+	if !slices.Equal(models, e.models) {
 		a.unindex(e)
 		e.models = models
 		a.index(e)
--- a/internal/assignment/engine.go
+++ b/internal/assignment/engine.go
@@ -156,8 +156,6 @@
 	return slices.Compact(names)
 }
 
-func equal(a, b []string) bool { return slices.Equal(a, b) }
-
 // recentEngines remembers for block hashes the engine that was sent them
 // last, in a table of fixed size.
 type recentEngines struct {
