Tell only of own targets that they leave, and remember every listed VM

Cause of the red spec 'a leaving target': the controller that owns a pool of plain services had not read the VM list before the spec's outage, so a service that then vanished was new to it, not gone. It read the list only while it had targets.

Second fault found by the trace: a controller that owned an engine's pool but did not collect the engine sent a bare view of it, which replaced the collector's view with one that is unreachable and holds nothing. A controller now tells only of engines that it collects.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -206,12 +206,13 @@
 	return names
 }
 
-// targets returns the targets whose departure this controller tells.
+// targets returns the targets whose departure this controller tells: the
+// engines that it collects, and the plain services of the pools that it owns.
 func (c *Controller) targets() map[string]object.Target {
 	objects := c.objects()
 	targets := c.planner.Targets()
 	for name, t := range objects.Targets {
-		if c.owns(t.Pool) {
+		if objects.Pools[t.Pool].Kind == object.PoolService && c.owns(t.Pool) {
 			targets[name] = t
 		}
 	}
@@ -231,7 +232,12 @@
 		Members  []member.Member                `json:"members"`
 		Shards   []shardplan.Status             `json:"shards"`
 		Engines  map[string]collector.Collected `json:"engines"`
-	}{c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(), c.planner.Status(), c.collector.Reports()}
+		// ListedVMs counts the VMs that the platform's list has ever named.
+		ListedVMs int `json:"listed_vms"`
+	}{
+		c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(),
+		c.planner.Status(), c.collector.Reports(), c.departures.Listed(),
+	}
 }
 
 // Addr returns the address on which operators are served.
--- a/internal/departure/departure.go
+++ b/internal/departure/departure.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,9 +26,13 @@
 	tell    func(leaving map[string]bool)
 	clock   clockwork.Clock
 	logger  hclog.Logger
-	seen    map[string]bool
 	told    map[string]bool
 	done    chan struct{}
+
+	mu sync.Mutex
+	// seen holds every VM that the list has named. It is kept from the start,
+	// since this process may be given any target later.
+	seen map[string]bool
 }
 
 // New returns departures of the targets that targets returns at each read.
@@ -58,24 +64,26 @@
 func (d *Departures) Done() <-chan struct{} { return d.done }
 
 func (d *Departures) step(ctx context.Context) {
-	targets := d.targets()
-	if len(targets) == 0 {
-		d.update(nil)
-		return
-	}
 	vms, err := d.list.VMs(ctx)
 	if err != nil {
 		d.logger.Debug("VM list not read", "error", err)
 		return
 	}
-	d.update(d.leaving(targets, vms))
+	d.update(d.leaving(d.targets(), vms))
+}
+
+// Listed returns the number of VMs that the list has ever named.
+func (d *Departures) Listed() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.seen)
 }
 
 func (d *Departures) update(leaving map[string]bool) {
 	if maps.Equal(leaving, d.told) {
 		return
 	}
-	d.logger.Info("leaving targets changed", "targets", len(leaving))
+	d.logger.Info("leaving targets changed", "targets", slices.Sorted(maps.Keys(leaving)))
 	d.told = leaving
 	d.tell(leaving)
 }
@@ -83,6 +91,8 @@
 // leaving returns the targets on VMs that leave, and on VMs that were listed
 // once and are no longer. A VM that was never listed is new: the list lags.
 func (d *Departures) leaving(targets map[string]object.Target, vms []vmlist.VM) map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	states := make(map[string]vmlist.State, len(vms))
 	for _, vm := range vms {
 		states[vm.Name] = vm.State
--- a/tests/leaving_target_test.go
+++ b/tests/leaving_target_test.go
@@ -67,6 +67,22 @@
 	return nil
 }
 
+// hasListed reports an error until a controller has read a list of n VMs: one
+// that it never saw listed is new to it, not gone.
+func hasListed(ctx context.Context, c *fleet.Node, n int) error {
+	a := send(ctx, http.MethodGet, c.Admin, "/dump", "", "", nil)
+	var dump struct {
+		ListedVMs int `json:"listed_vms"`
+	}
+	if err := json.Unmarshal([]byte(a.body), &dump); err != nil {
+		return err
+	}
+	if dump.ListedVMs < n {
+		return fmt.Errorf("%s has seen %d VMs listed", c.Name, dump.ListedVMs)
+	}
+	return nil
+}
+
 // ranAt returns what an engine ran.
 func ranAt(ctx context.Context, e *fleet.Standin) []modelengine.Ran {
 	a := send(ctx, http.MethodGet, e.Addr, "/standin/ran", "", "", nil)
@@ -115,6 +131,9 @@
 		ctx := testContext()
 		f := startSmallFleet(ctx, 2, 2)
 		f.setVMs(ctx, live)
+		for _, c := range f.controllers {
+			Expect(fleet.Eventually(ctx, func() error { return hasListed(ctx, c, len(live)) })).To(Succeed())
+		}
 		f.waitForBothEngines(ctx)
 
 		By("running long streams on both engines")
