Find the unread generation whichever engine ran it

The spec looked at the last record of the last engine, which may be a warm-up of the other. It now requires exactly one unfinished generation.

--- a/tests/whole_answer_test.go
+++ b/tests/whole_answer_test.go
@@ -218,9 +218,14 @@
 			}
 			return nil
 		})).To(Succeed())
-		ran := f.generated(ctx)
-		Expect(ran[len(ran)-1].Finished).To(BeFalse())
-		Expect(ran[len(ran)-1].Tokens).To(BeNumerically("<", unreadTokens))
+		var unfinished []modelengine.Ran
+		for _, ran := range f.generated(ctx) {
+			if !ran.Finished {
+				unfinished = append(unfinished, ran)
+			}
+		}
+		Expect(unfinished).To(HaveLen(1))
+		Expect(unfinished[0].Tokens).To(BeNumerically("<", unreadTokens))
 	})
 })
 
