Find the cut generation at whichever engine ran it

Cause: the spec looked at the last generation of the last engine, which need not be the one that was cut; it now expects just one unfinished generation.

--- a/tests/whole_answer_test.go
+++ b/tests/whole_answer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -189,8 +190,7 @@
 		response := f.openStream(ctx, messages)
 		Expect(response.Body.Close()).To(Succeed())
 		f.waitUntilIdle(ctx)
-		ran := f.generated(ctx)
-		Expect(ran[len(ran)-1].Finished).To(BeFalse())
+		Expect(unfinished(f.generated(ctx))).To(HaveLen(1))
 	})
 })
 
@@ -218,12 +218,17 @@
 			}
 			return nil
 		})).To(Succeed())
-		ran := f.generated(ctx)
-		Expect(ran[len(ran)-1].Finished).To(BeFalse())
-		Expect(ran[len(ran)-1].Tokens).To(BeNumerically("<", unreadTokens))
+		cut := unfinished(f.generated(ctx))
+		Expect(cut).To(HaveLen(1))
+		Expect(cut[0].Tokens).To(BeNumerically("<", unreadTokens))
 	})
 })
 
+// unfinished returns the generations that did not come to their end.
+func unfinished(ran []modelengine.Ran) []modelengine.Ran {
+	return slices.DeleteFunc(ran, func(r modelengine.Ran) bool { return r.Finished })
+}
+
 // waitUntilIdle waits until no engine runs a generation.
 func (f *streamFleet) waitUntilIdle(ctx context.Context) {
 	GinkgoHelper()
