--- a/internal/callerapi/body.go
+++ b/internal/callerapi/body.go
@@ -41,23 +41,7 @@
 		_ = controller.SetReadDeadline(time.Time{})
 		return data, nil
 	}
-	return nil, bodyError(err)
-}
-
-func bodyError(err error) error {
-	var refused *failure.Error
-	if errors.As(err, &refused) {
-		return refused
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", large.Limit)
-	}
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return failure.New(failure.RequestTimeout, "the body arrived too slowly")
-	}
-	return failure.Wrap(failure.BadRequest, err, "the body could not be read")
+	return nil, failure.FromBody(err)
 }
 
 func (api *API) decodeGeneration(data []byte, chat bool) (*generationBody, error) {
--- a/internal/plainroute/body.go
+++ b/internal/plainroute/body.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"fireflypier.example/fireflypier/internal/failure"
 )
 
@@ -89,25 +87,8 @@
 	_ = controller.SetReadDeadline(s.parts.Clock.Now().Add(s.parts.BodyTimeout))
 	data, err := io.ReadAll(r)
 	if err != nil {
-		return nil, bodyError(err)
+		return nil, failure.FromBody(err)
 	}
 	_ = controller.SetReadDeadline(time.Time{})
 	return data, nil
 }
-
-// bodyError tells why a body could not be read. Nothing was sent yet.
-func bodyError(err error) error {
-	var refused *failure.Error
-	if errors.As(err, &refused) {
-		return refused
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return failure.New(failure.BodyTooLarge, "the body is larger than %d bytes", large.Limit)
-	}
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return failure.New(failure.RequestTimeout, "the body arrived too slowly")
-	}
-	return failure.Wrap(failure.BadRequest, err, "the body could not be read")
-}
