--- /dev/null
+++ b/internal/gateway/callers.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"fireflypier.example/fireflypier/internal/admission"
+	"fireflypier.example/fireflypier/internal/assignment"
+	"fireflypier.example/fireflypier/internal/callerapi"
+	"fireflypier.example/fireflypier/internal/dispatch"
+	"fireflypier.example/fireflypier/internal/engine"
+	"fireflypier.example/fireflypier/internal/plainroute"
+	"fireflypier.example/fireflypier/internal/retry"
+	"fireflypier.example/fireflypier/internal/schedule"
+)
+
+// callerAPI wires the parts that serve callers.
+func (g *Gateway) callerAPI(registry *prometheus.Registry) *callerapi.API {
+	admit := admission.New(g.adoption)
+	g.adoption.OnChange(g.limiter.SetCatalog)
+	budget := retry.NewBudget(g.clock)
+	cfg := &g.cfg.Requests
+	plain := plainroute.New(plainroute.Parts{
+		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter,
+		Claims: g.claims, Budget: budget, Ejection: g.ejected, Leaving: g.views.Leaving,
+		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
+		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
+		MaxRecordedBytes: cfg.MaxRecordedBytes, WriteError: callerapi.WriteError,
+	})
+	engines := engine.NewClient(engine.WithClock(g.clock),
+		engine.WithFrameTimeouts(cfg.FirstFrameTimeout, cfg.FrameTimeout))
+	return callerapi.New(callerapi.Parts{
+		Clock:  g.clock,
+		Logger: g.logger,
+		Limits: callerapi.Limits{
+			MaxBodyBytes:     g.cfg.MaxBodyBytes,
+			BodyTimeout:      g.cfg.BodyTimeout,
+			RequestTimeout:   g.cfg.RequestTimeout,
+			DefaultMaxTokens: g.cfg.DefaultMaxTokens,
+			EntryTTL:         g.cfg.EntryTTL,
+			WriteTimeout:     cfg.WriteTimeout,
+			MaxRecordedBytes: cfg.MaxRecordedBytes,
+		},
+		Claims:    g.claims,
+		Admission: admit,
+		Limiter:   g.limiter,
+		Dispatch: dispatch.New(engines, g.schedule, g.logger, dispatch.WithClock(g.clock),
+			dispatch.WithRetries(budget, g.ejected), dispatch.WithMetrics(registry)),
+		Plain: plain,
+		Entry: g.entry,
+	})
+}
+
+func (g *Gateway) newSchedule(registry *prometheus.Registry) *schedule.Schedule {
+	return schedule.New(g.views,
+		schedule.WithClock(g.clock),
+		schedule.WithWeight(g.weight),
+		schedule.WithMeter(g.meter),
+		schedule.WithMetrics(registry),
+		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
+}
+
+// weight returns the rate of a customer in tokens a second.
+func (g *Gateway) weight(customer string) float64 {
+	rate, ok := g.adoption.Current().Rate(customer)
+	if !ok {
+		return 1
+	}
+	return rate.TokensPerSecond
+}
+
+// closeWhenLeaving asks callers to close their connections after each answer
+// while the gateway leaves.
+func (g *Gateway) closeWhenLeaving(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -17,15 +16,11 @@
 	"github.com/sourcegraph/conc"
 
 	"fireflypier.example/fireflypier/internal/adminapi"
-	"fireflypier.example/fireflypier/internal/admission"
 	"fireflypier.example/fireflypier/internal/adoption"
-	"fireflypier.example/fireflypier/internal/assignment"
 	"fireflypier.example/fireflypier/internal/callerapi"
 	"fireflypier.example/fireflypier/internal/claim"
 	"fireflypier.example/fireflypier/internal/demandmeter"
-	"fireflypier.example/fireflypier/internal/dispatch"
 	"fireflypier.example/fireflypier/internal/ejection"
-	"fireflypier.example/fireflypier/internal/engine"
 	"fireflypier.example/fireflypier/internal/engineview"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/feed"
@@ -36,10 +31,8 @@
 	"fireflypier.example/fireflypier/internal/membership"
 	"fireflypier.example/fireflypier/internal/metrics"
 	"fireflypier.example/fireflypier/internal/peer"
-	"fireflypier.example/fireflypier/internal/plainroute"
 	"fireflypier.example/fireflypier/internal/platform"
 	"fireflypier.example/fireflypier/internal/replica"
-	"fireflypier.example/fireflypier/internal/retry"
 	"fireflypier.example/fireflypier/internal/schedule"
 	"fireflypier.example/fireflypier/internal/settings"
 	"fireflypier.example/fireflypier/internal/share/sharepb"
@@ -142,60 +135,6 @@
 	return err
 }
 
-func (g *Gateway) callerAPI(registry *prometheus.Registry) *callerapi.API {
-	admit := admission.New(g.adoption)
-	g.adoption.OnChange(g.limiter.SetCatalog)
-	budget := retry.NewBudget(g.clock)
-	cfg := &g.cfg.Requests
-	plain := plainroute.New(plainroute.Parts{
-		Clock: g.clock, Logger: g.logger, Admission: admit, Limiter: g.limiter,
-		Claims: g.claims, Budget: budget, Ejection: g.ejected, Leaving: g.views.Leaving,
-		MaxBodyBytes: g.cfg.MaxBodyBytes, Timeout: g.cfg.RequestTimeout,
-		BodyTimeout: g.cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout,
-		MaxRecordedBytes: cfg.MaxRecordedBytes, WriteError: callerapi.WriteError,
-	})
-	engines := engine.NewClient(engine.WithClock(g.clock),
-		engine.WithFrameTimeouts(cfg.FirstFrameTimeout, cfg.FrameTimeout))
-	return callerapi.New(callerapi.Parts{
-		Clock:  g.clock,
-		Logger: g.logger,
-		Limits: callerapi.Limits{
-			MaxBodyBytes:     g.cfg.MaxBodyBytes,
-			BodyTimeout:      g.cfg.BodyTimeout,
-			RequestTimeout:   g.cfg.RequestTimeout,
-			DefaultMaxTokens: g.cfg.DefaultMaxTokens,
-			EntryTTL:         g.cfg.EntryTTL,
-			WriteTimeout:     cfg.WriteTimeout,
-			MaxRecordedBytes: cfg.MaxRecordedBytes,
-		},
-		Claims:    g.claims,
-		Admission: admit,
-		Limiter:   g.limiter,
-		Dispatch: dispatch.New(engines, g.schedule, g.logger, dispatch.WithClock(g.clock),
-			dispatch.WithRetries(budget, g.ejected), dispatch.WithMetrics(registry)),
-		Plain: plain,
-		Entry: g.entry,
-	})
-}
-
-func (g *Gateway) newSchedule(registry *prometheus.Registry) *schedule.Schedule {
-	return schedule.New(g.views,
-		schedule.WithClock(g.clock),
-		schedule.WithWeight(g.weight),
-		schedule.WithMeter(g.meter),
-		schedule.WithMetrics(registry),
-		schedule.WithAssignment(assignment.WithDataCentre(g.cfg.DataCentre)))
-}
-
-// weight returns the rate of a customer in tokens a second.
-func (g *Gateway) weight(customer string) float64 {
-	rate, ok := g.adoption.Current().Rate(customer)
-	if !ok {
-		return 1
-	}
-	return rate.TokensPerSecond
-}
-
 func (g *Gateway) self() member.Member {
 	return member.Member{
 		Name:        g.cfg.Name,
@@ -285,17 +224,6 @@
 	return errors.Wrap(err, "drain gateway")
 }
 
-// closeWhenLeaving asks callers to close their connections after each answer
-// while the gateway leaves.
-func (g *Gateway) closeWhenLeaving(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
 	timer := g.clock.NewTimer(d)
 	defer timer.Stop()
