Decide once for each pool who tells of its departures

A controller hashed the live controllers anew for every plain-service target, each second; it does so for each pool now. owns is named for what it takes: it also decides who reconciles the member list. Behaviour is unchanged; the specs 'a leaving target' and 'the whole path' pass with the race detector.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -188,10 +188,10 @@
 	return &c.adoption.Current().Snapshot().Objects
 }
 
-// owns reports whether this controller is the first choice for a pool among
-// the live controllers.
-func (c *Controller) owns(pool string) bool {
-	return rendezvous.First(pool, c.controllers()) == c.cfg.Name
+// owns reports whether this controller is the first choice among the live
+// controllers for a pool, or for other work that one of them does.
+func (c *Controller) owns(work string) bool {
+	return rendezvous.First(work, c.controllers()) == c.cfg.Name
 }
 
 // engines returns the engines whose reports this controller collects.
@@ -210,9 +210,13 @@
 // engines that it collects, and the plain services of the pools that it owns.
 func (c *Controller) targets() map[string]object.Target {
 	objects := c.objects()
+	owned := map[string]bool{}
+	for name, pool := range objects.Pools {
+		owned[name] = pool.Kind == object.PoolService && c.owns(name)
+	}
 	targets := c.planner.Targets()
 	for name, t := range objects.Targets {
-		if objects.Pools[t.Pool].Kind == object.PoolService && c.owns(t.Pool) {
+		if owned[t.Pool] {
 			targets[name] = t
 		}
 	}
