--- a/cmd/fireflypier/main.go
+++ b/cmd/fireflypier/main.go
@@ -31,6 +31,7 @@
 	return []command{
 		{"gateway", "Run a gateway", "Run a gateway, which serves callers, until SIGTERM; it then finishes its requests and stops.", &gatewayCommand{}},
 		{"controller", "Run a controller", "Run a controller, which serves operators and places models, until SIGTERM.", &controllerCommand{}},
+		{"node", "Run a node on the users' platform", "Run the process of one VM of the users' platform, until SIGTERM. Its settings file is the one that the platform writes.", &nodeCommand{}},
 		{"check", "Check object files", "Check the whole set of objects in the given files, without reaching a controller.", &checkCommand{}},
 		{"apply", "Apply an edit", "Publish the objects of the given files, or an earlier revision, as one edit, and wait until it is accepted: a majority of the gateways of each region has it.", &applyCommand{}},
 		{"history", "Show the history", "Show the latest revisions, newest first.", &historyCommand{}},
--- /dev/null
+++ b/internal/serving/fleetview/fleetview.go
@@ -0,0 +1,374 @@
+// Package fleetview keeps what this VM knows of the targets and chooses one
+// for each request. What targets hold and how busy they are is a hint: the
+// target's own answer decides.
+package fleetview
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
+
+// The costs by which targets are compared.
+const (
+	// prefillPerMillisecond is the assumed number of prompt tokens that an
+	// engine reads in a millisecond; each target's pace corrects it.
+	prefillPerMillisecond = 36.0
+	// stepCost is the time of one step of an engine, sequenceCost what each
+	// further running sequence adds to it.
+	stepCost     = 6 * time.Millisecond
+	sequenceCost = 300 * time.Microsecond
+	// slotCost is the wait for a slot behind one more request.
+	slotCost = 40 * time.Millisecond
+	// memoryCost is the wait for memory at an engine that is full once over.
+	memoryCost = 2500 * time.Millisecond
+	// failureCost is what a certain failure costs.
+	failureCost = 900 * time.Millisecond
+	// distanceCost is added for a target in another data centre: the way
+	// there and back.
+	distanceCost = 6 * time.Millisecond
+	// guessShare is the part of a prompt's prefix that counts as kept at the
+	// engine that all VMs would choose for it, while none has seen it.
+	guessShare = 0.35
+	// cacheShare is the part of an engine's memory that keeps prompt parts.
+	cacheShare = 0.8
+	// serviceTime is the assumed time of one request at a plain service.
+	serviceTime = 30 * time.Millisecond
+)
+
+// Want is what a request needs of a target.
+type Want struct {
+	// Pool names the pool, Model and Adapter the weights; a plain service
+	// needs none.
+	Pool           *policy.Pool
+	Model, Adapter string
+	// PromptTokens and AnswerTokens are the request's size.
+	PromptTokens, AnswerTokens int
+	// Chain and ChainTokens are the hashes and lengths of the prompt's parts.
+	Chain       []uint32
+	ChainTokens []int
+	// Exclude lists the ids of targets that must not be chosen.
+	Exclude []string
+}
+
+func (w *Want) excludes(id string) bool {
+	for _, x := range w.Exclude {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Choice is the outcome of a choice.
+type Choice struct {
+	// Target is nil when no target can serve the request now.
+	Target *target.Target
+	// Expected is the time until the first event or the answer.
+	Expected time.Duration
+	// Cached is the part of the prompt that the target is believed to keep.
+	Cached int
+	// Candidates counts the targets that could serve the request, WithModel
+	// those that hold its model at least, InPool all that take work.
+	Candidates, WithModel, InPool int
+	// Requests and Slots are the unfinished requests and the places of all
+	// candidates.
+	Requests, Slots int
+}
+
+// View is what this VM knows of the targets. Its methods may be called at the
+// same time.
+type View struct {
+	dataCentre string
+
+	mu      sync.Mutex
+	targets map[string]*state
+	sends   []*meshpb.Send
+	changed chan struct{}
+}
+
+// New returns a view without targets for a VM in a data centre.
+func New(dataCentre string) *View {
+	return &View{
+		dataCentre: dataCentre,
+		targets:    make(map[string]*state),
+		changed:    make(chan struct{}),
+	}
+}
+
+// Set adds a target or replaces what its row says. It reports whether the
+// target is new or another incarnation.
+func (v *View) Set(t *target.Target) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	defer v.notify()
+	s := v.targets[t.ID]
+	if s == nil || s.target.Born != t.Born || s.target.Address != t.Address {
+		v.targets[t.ID] = newState(t)
+		return true
+	}
+	s.target = t
+	return false
+}
+
+// Remove drops a target that is gone.
+func (v *View) Remove(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.targets, id)
+	v.notify()
+}
+
+func (v *View) notify() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of the targets
+// or of what they hold.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Targets returns all known targets, by id.
+func (v *View) Targets() []*target.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all := make([]*target.Target, 0, len(v.targets))
+	for _, s := range v.targets {
+		all = append(all, s.target)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// Target returns the target of an id.
+func (v *View) Target(id string) (t *target.Target, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, ok := v.targets[id]
+	if !ok {
+		return nil, false
+	}
+	return s.target, true
+}
+
+// SetInventory takes the duty holder's word on what an engine holds.
+func (v *View) SetInventory(id string, born int64, held []target.Held, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.targets[id]
+	if s == nil || s.target.Born != born {
+		return
+	}
+	s.inventory, s.inventoryAt = held, now
+	v.notify()
+}
+
+// SetPeerLoads replaces a peer's work at all targets.
+func (v *View) SetPeerLoads(peer string, loads []*meshpb.Load) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.targets {
+		delete(s.others, peer)
+	}
+	for _, l := range loads {
+		if s := v.targets[l.GetTarget()]; s != nil {
+			s.others[peer] = load{int(l.GetRequests()), int(l.GetPromptTokens()), int(l.GetKvTokens())}
+		}
+	}
+}
+
+// PeerSent notes prompts that a peer has sent.
+func (v *View) PeerSent(sends []*meshpb.Send) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, send := range sends {
+		s := v.targets[send.GetTarget()]
+		if s == nil || len(send.GetParts()) != len(send.GetTokens()) {
+			continue
+		}
+		tokens := make([]int, len(send.GetTokens()))
+		for i, n := range send.GetTokens() {
+			tokens[i] = int(n)
+		}
+		s.prefixes.add(send.GetParts(), tokens, defaultCacheTokens)
+	}
+}
+
+// defaultCacheTokens bounds the believed cache where the engine's memory is
+// not at hand.
+const defaultCacheTokens = 200_000
+
+// Loads returns this VM's unfinished work.
+func (v *View) Loads() []*meshpb.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var loads []*meshpb.Load
+	for id, s := range v.targets {
+		if s.own.requests > 0 {
+			loads = append(loads, &meshpb.Load{
+				Target:       id,
+				Requests:     uint32(s.own.requests),
+				PromptTokens: uint32(max(0, s.own.promptTokens)),
+				KvTokens:     uint32(max(0, s.own.kvTokens)),
+			})
+		}
+	}
+	return loads
+}
+
+// Requests returns the unfinished requests of all VMs at a target.
+func (v *View) Requests(id string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.targets[id]
+	if s == nil {
+		return 0
+	}
+	return s.total().requests
+}
+
+// TakeSends returns the prompts sent since the last call.
+func (v *View) TakeSends() []*meshpb.Send {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	sends := v.sends
+	v.sends = nil
+	return sends
+}
+
+// Choose returns the target with the least expected time for a request.
+func (v *View) Choose(w *Want, now time.Time) Choice {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var c Choice
+	var best time.Duration
+	preferred := v.preferred(w, now)
+	for id, s := range v.targets {
+		if s.target.Pool != w.Pool.Name || s.target.Draining {
+			continue
+		}
+		c.InPool++
+		if w.Pool.Engine != nil {
+			hasModel, hasAdapter := s.holds(w.Model, w.Adapter, now)
+			if !hasModel {
+				continue
+			}
+			c.WithModel++
+			if !hasAdapter {
+				continue
+			}
+		}
+		if w.excludes(id) || now.Before(s.downUntil) {
+			continue
+		}
+		total := s.total()
+		c.Candidates++
+		c.Requests += total.requests
+		c.Slots += s.target.Slots
+		expected, cached := v.expected(s, total, w, id == preferred, now)
+		cost := expected + time.Duration(s.failureRate(now)*float64(failureCost))
+		if c.Target == nil || cost < best {
+			c.Target, c.Expected, c.Cached, best = s.target, expected, cached, cost
+		}
+	}
+	return c
+}
+
+// expected returns the time until the first event, and the tokens of the
+// prompt that the engine keeps.
+func (v *View) expected(s *state, total load, w *Want, preferred bool, now time.Time) (time.Duration, int) {
+	var t time.Duration
+	if s.target.DataCentre != v.dataCentre {
+		t += distanceCost
+	}
+	if w.Pool.Engine == nil {
+		t += serviceTime * time.Duration(1+total.requests/max(1, s.target.Slots))
+		// Spreads the load among equally near targets.
+		t += time.Duration(total.requests) * time.Millisecond
+		t += time.Duration(rand.Int64N(int64(time.Millisecond)))
+		return t, 0
+	}
+	cached := s.prefixes.cached(w.Chain, w.ChainTokens)
+	if cached == 0 && preferred {
+		for _, n := range w.ChainTokens[:max(0, len(w.ChainTokens)-1)] {
+			cached += int(guessShare * float64(n))
+		}
+	}
+	unread := max(0, w.PromptTokens-cached)
+	reading := float64(unread+total.promptTokens) / prefillPerMillisecond * float64(time.Millisecond)
+	busy := time.Duration(reading) + stepCost + time.Duration(total.requests)*sequenceCost
+	t += time.Duration(float64(busy) * s.currentPace(now))
+	if over := total.requests + 1 - s.target.Slots; over > 0 {
+		t += time.Duration(over) * slotCost
+	}
+	memory := total.kvTokens + w.PromptTokens + w.AnswerTokens - w.Pool.Engine.KVTokens
+	if memory > 0 {
+		t += time.Duration(float64(memory) / float64(w.Pool.Engine.KVTokens) * float64(memoryCost))
+	}
+	return t, cached
+}
+
+// preferred returns the engine that all VMs choose for a new prompt prefix
+// while nothing else tells engines apart, by rendezvous hashing.
+func (v *View) preferred(w *Want, now time.Time) string {
+	if len(w.Chain) < 2 {
+		return ""
+	}
+	shared := w.Chain[len(w.Chain)-2]
+	var best string
+	var highest uint64
+	for id, s := range v.targets {
+		if s.target.Pool != w.Pool.Name || s.target.Draining {
+			continue
+		}
+		if _, ok := s.holds(w.Model, w.Adapter, now); !ok {
+			continue
+		}
+		if score := mix(shared, id); best == "" || score > highest {
+			best, highest = id, score
+		}
+	}
+	return best
+}
+
+// mix hashes a key with a name (FNV-1a).
+func mix(key uint32, name string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for i := range 4 {
+		h = (h ^ uint64(byte(key>>(8*i)))) * prime
+	}
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * prime
+	}
+	return h ^ (h >> 29)
+}
+
+// AddAdapter notes that an engine holds an adapter, until the next word on
+// what it holds.
+func (v *View) AddAdapter(id, model, adapter string, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.targets[id]
+	if s == nil {
+		return
+	}
+	delete(s.absent, model+"/"+adapter)
+	held := make([]target.Held, 0, len(s.held(now)))
+	for _, h := range s.held(now) {
+		if h.Model == model && !h.HasAdapter(adapter) {
+			h.Adapters = append(append([]string(nil), h.Adapters...), adapter)
+		}
+		held = append(held, h)
+	}
+	s.inventory, s.inventoryAt = held, now
+}
--- /dev/null
+++ b/internal/serving/fleetview/ticket.go
@@ -0,0 +1,97 @@
+package fleetview
+
+import (
+	"time"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+)
+
+// Ticket accounts for one request at a target. It belongs to one goroutine.
+type Ticket struct {
+	v       *View
+	state   *state
+	model   string
+	adapter string
+
+	load     load
+	expected time.Duration
+	began    time.Time
+	read     bool
+	ended    bool
+}
+
+// Begin accounts for a request that is about to be sent to the chosen target.
+func (v *View) Begin(c *Choice, w *Want, now time.Time) *Ticket {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t := &Ticket{v: v, model: w.Model, adapter: w.Adapter, expected: c.Expected, began: now}
+	t.load = load{
+		requests:     1,
+		promptTokens: max(0, w.PromptTokens-c.Cached),
+		kvTokens:     w.PromptTokens + w.AnswerTokens,
+	}
+	t.state = v.targets[c.Target.ID]
+	if t.state == nil {
+		t.state = newState(c.Target) // gone meanwhile; the sending will fail
+	}
+	t.state.own.add(t.load)
+	if len(w.Chain) > 0 {
+		t.state.prefixes.add(w.Chain, w.ChainTokens, int(cacheShare*float64(w.Pool.Engine.KVTokens)))
+		send := &meshpb.Send{Target: c.Target.ID, Parts: w.Chain, Tokens: make([]uint32, len(w.ChainTokens))}
+		for i, n := range w.ChainTokens {
+			send.Tokens[i] = uint32(max(0, n))
+		}
+		v.sends = append(v.sends, send)
+	}
+	return t
+}
+
+// Started tells that the first event or the whole answer has come.
+func (t *Ticket) Started(now time.Time) {
+	t.v.mu.Lock()
+	defer t.v.mu.Unlock()
+	if t.read {
+		return
+	}
+	t.read = true
+	t.state.own.promptTokens -= t.load.promptTokens
+	t.state.downFor = 0
+	if t.expected > 0 {
+		t.state.observePace(t.state.currentPace(t.began)*float64(now.Sub(t.began))/float64(t.expected), now)
+	}
+}
+
+// End takes the request off the target. failed tells that the target has
+// failed it.
+func (t *Ticket) End(failed bool, now time.Time) {
+	t.v.mu.Lock()
+	defer t.v.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	if !t.read {
+		t.state.own.promptTokens -= t.load.promptTokens
+	}
+	t.state.own.requests -= t.load.requests
+	t.state.own.kvTokens -= t.load.kvTokens
+	t.state.observe(failed, now)
+}
+
+// Unreachable keeps work away from the target for a while.
+func (t *Ticket) Unreachable(now time.Time) {
+	t.v.mu.Lock()
+	defer t.v.mu.Unlock()
+	t.state.unreachable(now)
+}
+
+// Absent tells that the engine denied holding the weights of the request.
+func (t *Ticket) Absent(now time.Time) {
+	t.v.mu.Lock()
+	defer t.v.mu.Unlock()
+	key := t.model
+	if t.adapter != "" {
+		key += "/" + t.adapter
+	}
+	t.state.absent[key] = now.Add(absentFor)
+}
--- /dev/null
+++ b/internal/serving/forward/metrics.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the metrics of requests. docs/OPERATIONS.md lists them.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+}
+
+// latencyBuckets are in seconds, around the objectives of today's routes.
+var latencyBuckets = []float64{0.01, 0.05, 0.15, 0.4, 0.8, 1.5, 3, 6, 15}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflypier_serving_requests_total",
+			Help: "Requests ended, by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "fireflypier_serving_request_seconds",
+			Help:    "Time from a request's header to the end of its answer.",
+			Buckets: latencyBuckets,
+		}, []string{"kind"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflypier_serving_sends_total",
+			Help: "Sends to targets, by outcome.",
+		}, []string{"outcome"}),
+	}
+	registry.MustRegister(m.requests, m.duration, m.sends)
+	return m
+}
+
+func (m *Metrics) finished(kind, outcome string, took time.Duration) {
+	m.requests.WithLabelValues(kind, outcome).Inc()
+	m.duration.WithLabelValues(kind).Observe(took.Seconds())
+}
+
+func (m *Metrics) sent(outcome string) { m.sends.WithLabelValues(outcome).Inc() }
--- /dev/null
+++ b/internal/serving/mesh/mesh.go
@@ -0,0 +1,279 @@
+// Package mesh lets the VMs of a site tell each other what they know: who is
+// live and ready, which versions of the store they have seen, how much work
+// they have sent where, and what their callers ask for.
+package mesh
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/peer"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+)
+
+const (
+	// exchangeInterval is the time between two digests to one peer; it is a
+	// small part of the seconds in which changes must be known everywhere.
+	exchangeInterval = 300 * time.Millisecond
+	// exchangeTimeout bounds one exchange, a connection included.
+	exchangeTimeout = 700 * time.Millisecond
+	// silentInterval is the time between two tries to reach a silent peer.
+	silentInterval = 1500 * time.Millisecond
+	// fetchTimeout bounds the transfer of one table.
+	fetchTimeout = time.Second
+)
+
+// Local is this VM's side of the exchange.
+type Local interface {
+	// Digest fills in what this VM tells; Self and Known are set already. A
+	// digest that answers another one carries no sends.
+	Digest(d *meshpb.Digest, answers bool)
+	// Heard takes in a peer's digest. Call no method of the mesh in it.
+	Heard(p *Peer)
+	// Table returns a table of the store as this VM knows it, and the version
+	// of its newest change.
+	Table(t rowstore.Table) (page rowstore.Page, changedAt int64)
+	// Need finds an engine with an adapter; see meshpb.
+	Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error)
+}
+
+// Mesh exchanges digests with all other VMs.
+type Mesh struct {
+	clock  clockwork.Clock
+	logger hclog.Logger
+	dialer *peer.Dialer
+	server *peer.Server
+	local  Local
+	done   chan struct{}
+
+	mu      sync.Mutex
+	self    *meshpb.Member
+	members *membership
+	busy    map[netip.AddrPort]bool
+}
+
+// New returns a mesh that listens on the address of self.
+func New(self *meshpb.Member, local Local, clock clockwork.Clock, logger hclog.Logger) (*Mesh, error) {
+	addr, err := netip.ParseAddrPort(self.GetPeer())
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	server, err := peer.Listen(addr, logger)
+	if err != nil {
+		return nil, err
+	}
+	m := &Mesh{
+		clock:   clock,
+		logger:  logger,
+		dialer:  peer.NewDialer(peer.WithSource(addr.Addr())),
+		server:  server,
+		local:   local,
+		done:    make(chan struct{}),
+		self:    self,
+		members: newMembership(addr),
+		busy:    make(map[netip.AddrPort]bool),
+	}
+	if err := meshpb.DRPCRegisterMesh(server.Mux(), service{m}); err != nil {
+		return nil, errors.Wrap(err, "register mesh")
+	}
+	return m, nil
+}
+
+// Run exchanges digests until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	defer close(m.done)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		if err := m.server.Run(ctx); err != nil && ctx.Err() == nil {
+			m.logger.Error("peers are no longer served", "error", err)
+		}
+	})
+	ticker := m.clock.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		m.Spread(ctx, &wg)
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+		}
+	}
+	wg.Wait()
+	return m.dialer.Close()
+}
+
+// Done is closed when Run has returned.
+func (m *Mesh) Done() <-chan struct{} { return m.done }
+
+// Spread begins an exchange with every peer that has none under way.
+func (m *Mesh) Spread(ctx context.Context, wg *conc.WaitGroup) {
+	now := m.clock.Now()
+	m.mu.Lock()
+	for _, addr := range m.members.forget(now) {
+		m.logger.Info("member forgotten", "peer", addr, "silent_for", forgetAfter)
+	}
+	var due []netip.AddrPort
+	for addr, p := range m.members.peers {
+		if m.busy[addr] || (!p.Live(now) && now.Sub(p.dialed) < silentInterval) {
+			continue
+		}
+		p.dialed = now
+		m.busy[addr] = true
+		due = append(due, addr)
+	}
+	m.mu.Unlock()
+	if len(due) == 0 {
+		return
+	}
+	digest := m.digest(false)
+	for _, addr := range due {
+		wg.Go(func() { m.exchange(ctx, addr, digest) })
+	}
+}
+
+func (m *Mesh) exchange(ctx context.Context, addr netip.AddrPort, digest *meshpb.Digest) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	answer, err := m.client(ctx, addr).Exchange(ctx, digest)
+	m.mu.Lock()
+	delete(m.busy, addr)
+	m.mu.Unlock()
+	if err != nil {
+		m.logger.Debug("peer not reached", "peer", addr, "error", err)
+		return
+	}
+	m.hear(answer)
+}
+
+func (m *Mesh) client(ctx context.Context, addr netip.AddrPort) meshpb.DRPCMeshClient {
+	return meshpb.NewDRPCMeshClient(m.dialer.Conn(ctx, addr))
+}
+
+func (m *Mesh) hear(d *meshpb.Digest) {
+	now := m.clock.Now()
+	m.mu.Lock()
+	p, returned := m.members.hear(d, now)
+	var known Peer
+	if p != nil {
+		known = *p
+	}
+	m.mu.Unlock()
+	if p == nil {
+		return
+	}
+	if returned {
+		m.logger.Info("member heard", "peer", known.Address, "name", known.Name, "incarnation", known.Incarnation, "ready", known.Ready)
+	}
+	m.local.Heard(&known)
+}
+
+func (m *Mesh) digest(answers bool) *meshpb.Digest {
+	m.mu.Lock()
+	d := &meshpb.Digest{Self: m.copySelf()}
+	for addr, p := range m.members.peers {
+		d.Known = append(d.Known, &meshpb.Member{
+			Peer:        addr.String(),
+			Incarnation: p.Incarnation,
+			Name:        p.Name,
+			DataCentre:  p.DataCentre,
+			Front:       p.Front.String(),
+		})
+	}
+	m.mu.Unlock()
+	m.local.Digest(d, answers)
+	return d
+}
+
+func (m *Mesh) copySelf() *meshpb.Member {
+	return &meshpb.Member{
+		Peer:        m.self.GetPeer(),
+		Incarnation: m.self.GetIncarnation(),
+		Name:        m.self.GetName(),
+		DataCentre:  m.self.GetDataCentre(),
+		Front:       m.self.GetFront(),
+		Ready:       m.self.GetReady(),
+		Leaving:     m.self.GetLeaving(),
+	}
+}
+
+// Announce sets what others are told of this VM.
+func (m *Mesh) Announce(ready, leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Ready, m.self.Leaving = ready, leaving
+}
+
+// Add notes a member that the store lists.
+func (m *Mesh) Add(w *meshpb.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members.add(w, m.clock.Now())
+}
+
+// Peers returns the known peers, by address.
+func (m *Mesh) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.sorted()
+}
+
+// Fetch asks a peer for a table that has changed after a version; ok is false
+// when the peer knows of no such change.
+func (m *Mesh) Fetch(ctx context.Context, addr netip.AddrPort, t rowstore.Table, above int64) (p rowstore.Page, ok bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	reply, err := m.client(ctx, addr).Fetch(ctx, &meshpb.FetchRequest{Table: int32(t), Above: above})
+	if err != nil {
+		return p, false, errors.Wrap(err, "fetch table from peer")
+	}
+	p.Version = reply.GetVersion()
+	for _, r := range reply.GetRows() {
+		p.Rows = append(p.Rows, rowstore.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion()})
+	}
+	return p, p.Version > 0, nil
+}
+
+// Need asks the holder of the order duty for an engine with an adapter.
+func (m *Mesh) Need(ctx context.Context, holder netip.AddrPort, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
+	reply, err := m.client(ctx, holder).Need(ctx, r)
+	return reply, errors.Wrap(err, "ask for an adapter")
+}
+
+// service answers the calls of peers.
+type service struct{ m *Mesh }
+
+// Exchange implements meshpb.DRPCMeshServer.
+func (s service) Exchange(_ context.Context, d *meshpb.Digest) (*meshpb.Digest, error) {
+	s.m.hear(d)
+	return s.m.digest(true), nil
+}
+
+// Fetch implements meshpb.DRPCMeshServer.
+func (s service) Fetch(_ context.Context, r *meshpb.FetchRequest) (*meshpb.FetchReply, error) {
+	t := rowstore.Table(r.GetTable())
+	if t != rowstore.Policies && t != rowstore.Targets {
+		return nil, errors.Errorf("table %d is not passed on", r.GetTable())
+	}
+	page, changedAt := s.m.local.Table(t)
+	reply := &meshpb.FetchReply{}
+	if changedAt <= r.GetAbove() {
+		return reply, nil
+	}
+	reply.Version = page.Version
+	for _, row := range page.Rows {
+		reply.Rows = append(reply.Rows, &meshpb.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return reply, nil
+}
+
+// Need implements meshpb.DRPCMeshServer.
+func (s service) Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
+	return s.m.local.Need(ctx, r)
+}
--- /dev/null
+++ b/internal/serving/node/dump.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
+
+// dump is the state of the process without keys.
+func (n *Node) dump() any {
+	type member struct {
+		Peer        netip.AddrPort `json:"peer"`
+		Name        string         `json:"name"`
+		Incarnation int64          `json:"incarnation"`
+		Ready       bool           `json:"ready"`
+		Leaving     bool           `json:"leaving"`
+		SilentFor   time.Duration  `json:"silent_for"`
+		Fence       int64          `json:"fence,omitzero"`
+	}
+	now := n.clock.Now()
+	state := struct {
+		VM             string           `json:"vm"`
+		Incarnation    int64            `json:"incarnation"`
+		Ready          bool             `json:"ready"`
+		Leaving        bool             `json:"leaving"`
+		Fence          int64            `json:"fence,omitzero"`
+		PolicyVersion  int64            `json:"policy_version"`
+		TargetsVersion int64            `json:"targets_version"`
+		Members        []member         `json:"members"`
+		Targets        []*target.Target `json:"targets"`
+	}{
+		VM:             n.Settings.Name,
+		Incarnation:    n.incarnation,
+		Ready:          n.ready(),
+		Leaving:        n.leaving.Load(),
+		Fence:          n.duty.Fence(),
+		TargetsVersion: n.targets.ChangedAt(),
+		Targets:        n.view.Targets(),
+	}
+	if p := n.policy.Load(); p != nil {
+		state.PolicyVersion = p.Version
+	}
+	for _, p := range n.mesh.Peers() {
+		m := member{Peer: p.Address, Name: p.Name, Incarnation: p.Incarnation, Ready: p.Ready, Leaving: p.Leaving, Fence: p.Digest.GetFence()}
+		if !p.Heard.IsZero() {
+			m.SilentFor = now.Sub(p.Heard)
+		}
+		state.Members = append(state.Members, m)
+	}
+	return state
+}
--- /dev/null
+++ b/internal/serving/node/knowledge.go
@@ -0,0 +1,311 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/tablefeed"
+	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
+)
+
+const (
+	// tickInterval is the time between two divisions of the rates.
+	tickInterval = 300 * time.Millisecond
+	// fetchDelay is the time that this VM's own reading of the store is given
+	// before it takes a change from a peer.
+	fetchDelay = 120 * time.Millisecond
+)
+
+// policyChanged puts a new configuration in force; the last good one stays if
+// it cannot be read.
+func (n *Node) policyChanged(rows []rowstore.Row) {
+	for _, r := range rows {
+		if r.Key != rowstore.PolicyKey || r.Deleted {
+			continue
+		}
+		p, err := n.DecodePolicy(r.Value)
+		if err != nil {
+			n.Logger.Error("configuration cannot be read, the last one stays", "row_version", r.Version, "error", err)
+			continue
+		}
+		if old := n.policy.Load(); old != nil && old.Version >= p.Version {
+			continue
+		}
+		n.policy.Store(p)
+		n.Logger.Info("configuration in force", "version", p.Version, "row_version", r.Version,
+			"routes", len(p.Routes), "pools", len(p.Pools), "customers", len(p.Customers))
+	}
+	n.announce()
+}
+
+func (n *Node) targetsChanged(rows []rowstore.Row) {
+	for _, r := range rows {
+		if r.Deleted {
+			n.view.Remove(r.Key)
+			n.Logger.Info("target gone", "target", r.Key)
+			continue
+		}
+		t, err := n.DecodeTarget(r.Key, r.Value)
+		if err != nil {
+			n.Logger.Warn("target row left out", "target", r.Key, "row_version", r.Version, "error", err)
+			n.view.Remove(r.Key)
+			continue
+		}
+		fresh := n.view.Set(t)
+		n.Logger.Info("target", "target", r.Key, "pool", t.Pool, "address", t.Address, "draining", t.Draining,
+			"born", t.Born, "new", fresh, "row_version", r.Version, "models", len(t.Weights.Models))
+	}
+	n.announce()
+}
+
+func (n *Node) announce() {
+	if n.mesh != nil {
+		n.mesh.Announce(n.ready(), n.leaving.Load())
+	}
+}
+
+// tick divides the rates anew by what peers have told.
+func (n *Node) tick(ctx context.Context) {
+	ticker := n.clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return
+		}
+		n.announce()
+		now := n.clock.Now()
+		demand := make(map[string]float64)
+		live, silent := 0, 0
+		for _, p := range n.mesh.Peers() {
+			if !p.Live(now) {
+				silent++
+				n.view.SetPeerLoads(p.Address.String(), nil)
+				continue
+			}
+			live++
+			for _, c := range p.Digest.GetCustomers() {
+				demand[c.GetCustomer()] += float64(c.GetPerSecond())
+			}
+		}
+		n.forward.SetOthers(demand, live, silent)
+		if n.duty.Term() != nil {
+			n.desk.Used(n.totalDemand())
+		}
+	}
+}
+
+// contend reports whether this VM should try to take the order duty: no live
+// peer holds it.
+func (n *Node) contend() (ok bool, rank int) {
+	if n.policy.Load() == nil || n.leaving.Load() {
+		return false, 0
+	}
+	if _, held := n.holder(); held {
+		return false, 0
+	}
+	now := n.clock.Now()
+	for _, p := range n.mesh.Peers() {
+		if p.Live(now) && p.Ready && p.Address.Compare(n.Settings.Peer) < 0 {
+			rank++
+		}
+	}
+	return true, rank
+}
+
+// holder returns the live peer that holds the order duty.
+func (n *Node) holder() (addr netip.AddrPort, ok bool) {
+	now := n.clock.Now()
+	var fence int64
+	for _, p := range n.mesh.Peers() {
+		if p.Live(now) && p.Digest.GetFence() > fence {
+			addr, fence = p.Address, p.Digest.GetFence()
+		}
+	}
+	return addr, fence > 0
+}
+
+// totalDemand adds up the demand of all live VMs.
+func (n *Node) totalDemand() map[weightsdemand.Key]weightsdemand.Level {
+	now := n.clock.Now()
+	n.mu.Lock()
+	total := n.demand.Levels(now)
+	n.mu.Unlock()
+	for _, p := range n.mesh.Peers() {
+		if !p.Live(now) {
+			continue
+		}
+		for _, w := range p.Digest.GetWeights() {
+			k := weightsdemand.Key{Pool: w.GetPool(), Model: w.GetModel(), Adapter: w.GetAdapter()}
+			l := total[k]
+			l.TokensPerSecond += float64(w.GetTokensPerSecond())
+			l.Waiting += int(w.GetWaiting())
+			total[k] = l
+		}
+	}
+	return total
+}
+
+// setHeld notes what an engine holds, for this VM and for the next digests.
+func (n *Node) setHeld(id string, born int64, held []target.Held) {
+	n.view.SetInventory(id, born, held, n.clock.Now())
+	entry := &meshpb.Inventory{Target: id, Born: born}
+	for _, h := range held {
+		entry.Held = append(entry.Held, &meshpb.Held{Model: h.Model, Adapters: h.Adapters})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inventory[id] = entry
+}
+
+// local is the node's side of the exchange between VMs.
+type local struct{ n *Node }
+
+// Digest implements mesh.Local.
+func (l local) Digest(d *meshpb.Digest, answers bool) {
+	n := l.n
+	d.PolicyVersion, d.TargetsVersion = n.policies.ChangedAt(), n.targets.ChangedAt()
+	d.Loads = n.view.Loads()
+	for name, perSecond := range n.forward.Demand() {
+		d.Customers = append(d.Customers, &meshpb.CustomerDemand{Customer: name, PerSecond: float32(perSecond)})
+	}
+	d.Fence = n.duty.Fence()
+	now := n.clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for k, level := range n.demand.Levels(now) {
+		d.Weights = append(d.Weights, &meshpb.WeightsDemand{
+			Pool: k.Pool, Model: k.Model, Adapter: k.Adapter,
+			TokensPerSecond: float32(level.TokensPerSecond), Waiting: uint32(level.Waiting),
+		})
+	}
+	if d.Fence != 0 {
+		for id, entry := range n.inventory {
+			if _, ok := n.view.Target(id); !ok {
+				delete(n.inventory, id)
+				continue
+			}
+			d.Inventory = append(d.Inventory, entry)
+		}
+	}
+	if !answers {
+		d.Sends = n.view.TakeSends()
+	}
+}
+
+// Heard implements mesh.Local.
+func (l local) Heard(p *mesh.Peer) {
+	n := l.n
+	d := p.Digest
+	n.view.SetPeerLoads(p.Address.String(), d.GetLoads())
+	n.view.PeerSent(d.GetSends())
+	now := n.clock.Now()
+	for _, entry := range d.GetInventory() {
+		held := make([]target.Held, 0, len(entry.GetHeld()))
+		for _, h := range entry.GetHeld() {
+			held = append(held, target.Held{Model: h.GetModel(), Adapters: h.GetAdapters()})
+		}
+		n.view.SetInventory(entry.GetTarget(), entry.GetBorn(), held, now)
+	}
+	n.catchUp(p.Address, n.policies, rowstore.Policies, d.GetPolicyVersion())
+	n.catchUp(p.Address, n.targets, rowstore.Targets, d.GetTargetsVersion())
+}
+
+// catchUp takes a table from a peer that knows of a newer change, unless the
+// store tells of it first.
+func (n *Node) catchUp(addr netip.AddrPort, feed *tablefeed.Feed, t rowstore.Table, version int64) {
+	if version <= feed.ChangedAt() {
+		return
+	}
+	n.mu.Lock()
+	ctx, busy := n.ctx, n.fetching[t]
+	if ctx != nil {
+		n.fetching[t] = true
+	}
+	n.mu.Unlock()
+	if busy || ctx == nil {
+		return
+	}
+	n.wg.Go(func() {
+		defer func() {
+			n.mu.Lock()
+			delete(n.fetching, t)
+			n.mu.Unlock()
+		}()
+		select {
+		case <-n.clock.After(fetchDelay):
+		case <-ctx.Done():
+			return
+		}
+		above := feed.ChangedAt()
+		if version <= above {
+			return
+		}
+		page, ok, err := n.mesh.Fetch(ctx, addr, t, above)
+		if err != nil || !ok {
+			n.Logger.Debug("table not taken from peer", "peer", addr, "table", t, "error", err)
+			return
+		}
+		n.Logger.Info("table taken from peer", "peer", addr, "table", t, "rows", len(page.Rows), "from_version", above, "to_version", version)
+		feed.Merge(page)
+	})
+}
+
+// Table implements mesh.Local.
+func (l local) Table(t rowstore.Table) (rowstore.Page, int64) {
+	feed := l.n.targets
+	if t == rowstore.Policies {
+		feed = l.n.policies
+	}
+	return feed.Page(), feed.ChangedAt()
+}
+
+// Need implements mesh.Local.
+func (l local) Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
+	return &meshpb.NeedReply{Target: l.n.desk.Bring(ctx, r.GetPool(), r.GetModel(), r.GetAdapter())}, nil
+}
+
+// placer brings weights for the request path.
+type placer struct{ n *Node }
+
+// Asked implements forward.Placer.
+func (p placer) Asked(pool, model, adapter string, tokens int, waits bool) {
+	n := p.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.demand.Asked(weightsdemand.Key{Pool: pool, Model: model, Adapter: adapter}, tokens, waits, n.clock.Now())
+}
+
+// bringTimeout bounds the wait for an adapter; a load takes some milliseconds
+// once the engine has accepted it.
+const bringTimeout = 500 * time.Millisecond
+
+// Bring implements forward.Placer.
+func (p placer) Bring(ctx context.Context, pool, model, adapter string) (string, error) {
+	n := p.n
+	ctx, cancel := context.WithTimeout(ctx, bringTimeout)
+	defer cancel()
+	if n.duty.Term() != nil {
+		return n.desk.Bring(ctx, pool, model, adapter), nil
+	}
+	addr, ok := n.holder()
+	if !ok {
+		return "", errors.New("no VM holds the order duty")
+	}
+	reply, err := n.mesh.Need(ctx, addr, &meshpb.NeedRequest{Pool: pool, Model: model, Adapter: adapter})
+	if err != nil {
+		return "", err
+	}
+	if id := reply.GetTarget(); id != "" {
+		n.view.AddAdapter(id, model, adapter, n.clock.Now())
+	}
+	return reply.GetTarget(), nil
+}
--- /dev/null
+++ b/internal/serving/node/node.go
@@ -0,0 +1,349 @@
+// Package node is the process that runs on each VM of a site: it takes
+// callers' requests, tells callers where to connect, exchanges what it knows
+// with the other VMs and competes for the order duty.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/adminapi"
+	"fireflypier.example/fireflypier/internal/serving/allowance"
+	"fireflypier.example/fireflypier/internal/serving/duty"
+	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/fleetview"
+	"fireflypier.example/fireflypier/internal/serving/forward"
+	"fireflypier.example/fireflypier/internal/serving/machine"
+	"fireflypier.example/fireflypier/internal/serving/mesh"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/orderdesk"
+	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/retrybudget"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/socket"
+	"fireflypier.example/fireflypier/internal/serving/tablefeed"
+	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
+)
+
+const (
+	// readHeaderTimeout bounds a request's header; the operators' limit is
+	// shorter for callers that keep to it.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is longer than callers keep idle connections.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is twice the operators' usual limit.
+	maxHeaderBytes = 32 << 10
+	// answerTTL is how long callers may keep a directory answer.
+	answerTTL = 2 * time.Second
+	// lapseHold is how long rows of targets that were dropped around an
+	// outage of the store are kept: they are back within two seconds if the
+	// target lives.
+	lapseHold = 2500 * time.Millisecond
+	// shutdownReserve is left between the last answer and the kill.
+	shutdownReserve = 500 * time.Millisecond
+	// drainShare is the part of the grace time in which connections are
+	// still accepted: callers drop the address within their answer's time.
+	drainShare = 0.5
+)
+
+// Parts are what a Node stands on. The platform's side implements them.
+type Parts struct {
+	Settings *machine.Settings
+	Store    rowstore.Store
+	Sender   exchange.Sender
+	Engines  orderdesk.Engines
+	// DecodePolicy and DecodeTarget read rows of the store.
+	DecodePolicy func([]byte) (*policy.Policy, error)
+	DecodeTarget func(id string, data []byte) (*target.Target, error)
+	// Front, Directory and Ready return the platform's handlers.
+	Front     func(serve func(http.ResponseWriter, *http.Request, *exchange.Request) error, bodyLimit func() int64) http.Handler
+	Directory func(addresses func(dataCentre string) []netip.AddrPort, ttl func() time.Duration) http.Handler
+	Ready     func(ready func() bool) http.Handler
+	Logger    hclog.Logger
+}
+
+// Node is one process.
+type Node struct {
+	Parts
+	clock       clockwork.Clock
+	incarnation int64
+	registry    *prometheus.Registry
+
+	view     *fleetview.View
+	policies *tablefeed.Feed
+	targets  *tablefeed.Feed
+	mesh     *mesh.Mesh
+	duty     *duty.Duty
+	desk     *orderdesk.Desk
+	forward  *forward.Forward
+
+	policy  atomic.Pointer[policy.Policy]
+	leaving atomic.Bool
+
+	mu        sync.Mutex
+	demand    *weightsdemand.Meter
+	inventory map[string]*meshpb.Inventory
+	fetching  map[rowstore.Table]bool
+	ctx       context.Context //nolint:containedctx // for fetches that a peer's word begins
+	wg        conc.WaitGroup
+}
+
+// New returns a node that listens once Run is called.
+func New(p Parts) (*Node, error) {
+	n := &Node{
+		Parts:       p,
+		clock:       clockwork.NewRealClock(),
+		incarnation: time.Now().UnixNano(),
+		registry:    prometheus.NewRegistry(),
+		view:        fleetview.New(p.Settings.DataCentre),
+		demand:      weightsdemand.New(),
+		inventory:   make(map[string]*meshpb.Inventory),
+		fetching:    make(map[rowstore.Table]bool),
+	}
+	s := p.Settings
+	n.policies = tablefeed.New(p.Store, rowstore.Policies, "policies", p.Logger, n.policyChanged)
+	n.targets = tablefeed.New(p.Store, rowstore.Targets, "targets", p.Logger, n.targetsChanged, tablefeed.WithHold(lapseHold))
+	var err error
+	n.mesh, err = mesh.New(&meshpb.Member{
+		Peer:        s.Peer.String(),
+		Incarnation: n.incarnation,
+		Name:        s.Name,
+		DataCentre:  s.DataCentre,
+		Front:       s.Front.String(),
+	}, local{n}, n.clock, p.Logger)
+	if err != nil {
+		return nil, err
+	}
+	n.duty = duty.New(p.Store, s.Peer, n.incarnation, s.Bounds.OrderGap, n.contend, p.Logger)
+	n.desk = orderdesk.New(orderdesk.Parts{
+		Name:     s.Peer.Addr().String(),
+		Store:    p.Store,
+		Duty:     n.duty,
+		Engines:  p.Engines,
+		Policy:   n.policy.Load,
+		Targets:  n.view.Targets,
+		Demand:   n.totalDemand,
+		Requests: n.view.Requests,
+		Held:     n.setHeld,
+		Clock:    n.clock,
+		Logger:   p.Logger,
+	})
+	n.forward = forward.New(forward.Parts{
+		Policy:  n.policy.Load,
+		View:    n.view,
+		Sender:  p.Sender,
+		Placer:  placer{n},
+		Rates:   allowance.New(allowance.Tolerance{Overage: s.Bounds.RateOverage, Slack: s.Bounds.RateSlack}),
+		Retries: retrybudget.New(retrybudget.Bound{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack}),
+		VMs:     func() int { return 1 + len(n.mesh.Peers()) },
+		Metrics: forward.NewMetrics(n.registry),
+		Clock:   n.clock,
+		Logger:  p.Logger,
+	})
+	return n, nil
+}
+
+// Run serves until ctx ends, then finishes its requests and stops.
+func (n *Node) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	n.mu.Lock()
+	n.ctx = work
+	n.mu.Unlock()
+	front, others, err := n.listen(work)
+	if err != nil {
+		return err
+	}
+	dutyCtx, endDuty := context.WithCancel(work)
+	defer endDuty()
+	n.wg.Go(func() {
+		if err := n.mesh.Run(work); err != nil {
+			n.Logger.Warn("peer connections not closed", "error", err)
+		}
+	})
+	n.wg.Go(func() { n.policies.Run(work) })
+	n.wg.Go(func() { n.targets.Run(work) })
+	n.wg.Go(func() { n.join(work) })
+	n.wg.Go(func() { n.duty.Run(dutyCtx) })
+	n.wg.Go(func() { n.desk.Run(dutyCtx) })
+	n.wg.Go(func() { n.tick(work) })
+	n.Logger.Info("started", "incarnation", n.incarnation, "vm", n.Settings.Name, "data_centre", n.Settings.DataCentre)
+	<-ctx.Done()
+	n.Logger.Info("leaving", "grace", n.Settings.Bounds.Grace)
+	n.leave(work, endDuty, front)
+	for _, s := range others {
+		_ = s.Close() // nothing runs there that must be finished
+	}
+	stop()
+	n.wg.Wait()
+	n.Logger.Info("stopped")
+	return nil
+}
+
+// listen opens all listeners and serves them.
+func (n *Node) listen(ctx context.Context) (front *http.Server, others []*http.Server, err error) {
+	admin := adminapi.New(n.registry, func() error {
+		if !n.ready() {
+			return errors.New("not ready")
+		}
+		return nil
+	}, n.dump)
+	s := n.Settings
+	front = n.server(n.closing(n.Front(n.forward.Serve, n.bodyLimit)))
+	serve := []struct {
+		addr   netip.AddrPort
+		server *http.Server
+	}{
+		{s.Front, front},
+		{s.Ready, n.server(n.Ready(n.ready))},
+		{s.Directory, n.server(n.Directory(n.addresses, func() time.Duration { return min(answerTTL, s.Bounds.AnswerTTL) }))},
+		{s.Admin, n.server(admin.Handler())},
+	}
+	for _, l := range serve {
+		listener, err := socket.Default().Listen(ctx, l.addr.String())
+		if err != nil {
+			return nil, nil, errors.Wrapf(err, "listen on %s", l.addr)
+		}
+		if l.server != front {
+			others = append(others, l.server)
+		}
+		n.wg.Go(func() { n.serve(l.server, listener) })
+	}
+	return front, others, nil
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          n.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		n.Logger.Error("listener ended", "address", l.Addr(), "error", err)
+	}
+}
+
+// closing asks callers to close their connections while this VM leaves.
+func (n *Node) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// leave tells everyone, serves on while callers still know the address, and
+// finishes what runs.
+func (n *Node) leave(ctx context.Context, endDuty context.CancelFunc, front *http.Server) {
+	began := n.clock.Now()
+	n.leaving.Store(true)
+	n.mesh.Announce(false, true)
+	endDuty()
+	grace := n.Settings.Bounds.Grace
+	select {
+	case <-n.clock.After(time.Duration(drainShare * float64(grace))):
+	case <-ctx.Done():
+	}
+	left, cancel := context.WithTimeout(ctx, grace-shutdownReserve-n.clock.Since(began))
+	defer cancel()
+	if err := front.Shutdown(left); err != nil {
+		n.Logger.Warn("requests cut at the end of the grace time", "error", err)
+		_ = front.Close()
+	}
+}
+
+func (n *Node) ready() bool {
+	_, known := n.targets.Version()
+	return n.policy.Load() != nil && known && !n.leaving.Load()
+}
+
+func (n *Node) bodyLimit() int64 {
+	if p := n.policy.Load(); p != nil {
+		return p.Limits.BodyBytes
+	}
+	return 0
+}
+
+// addresses returns the VMs that take requests now.
+func (n *Node) addresses(string) []netip.AddrPort {
+	now := n.clock.Now()
+	var found []netip.AddrPort
+	if n.ready() {
+		found = append(found, n.Settings.Front)
+	}
+	for _, p := range n.mesh.Peers() {
+		if p.Live(now) && p.Ready && !p.Leaving && p.Front.IsValid() {
+			found = append(found, p.Front)
+		}
+	}
+	const most = 64 // callers take no more
+	return found[:min(most, len(found))]
+}
+
+// join lists this VM in the store and learns of the others.
+func (n *Node) join(ctx context.Context) {
+	for _, seed := range n.Settings.Seeds {
+		n.mesh.Add(&meshpb.Member{Peer: seed.String()})
+	}
+	for ctx.Err() == nil {
+		err := n.register(ctx)
+		if err == nil {
+			return
+		}
+		n.Logger.Warn("not listed among the members yet", "error", err)
+		select {
+		case <-n.clock.After(joinRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+const joinRetry = 500 * time.Millisecond // the store fails for seconds at a time
+
+func (n *Node) register(ctx context.Context) error {
+	s := n.Settings
+	value, err := encodeMember(&memberRow{
+		Incarnation: n.incarnation,
+		Name:        s.Name,
+		DataCentre:  s.DataCentre,
+		Front:       s.Front,
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := n.Store.Write(ctx, rowstore.Write{Table: rowstore.Members, Key: s.Peer.String(), Expect: rowstore.AnyVersion, Value: value}); err != nil {
+		return errors.Wrap(err, "write member row")
+	}
+	page, err := n.Store.List(ctx, rowstore.Members)
+	if err != nil {
+		return errors.Wrap(err, "list members")
+	}
+	for _, row := range page.Rows {
+		m, err := decodeMember(row.Key, row.Value)
+		if err != nil {
+			n.Logger.Warn("member row left out", "key", row.Key, "version", row.Version, "error", err)
+			continue
+		}
+		n.mesh.Add(m)
+	}
+	n.Logger.Info("listed among the members", "members", len(page.Rows), "version", page.Version)
+	return nil
+}
--- /dev/null
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -0,0 +1,457 @@
+// Package orderdesk gives orders to the engines of all pools while this VM
+// holds the order duty: it keeps an account of each engine's memory, writes
+// each model load into the store before it is sent, and brings adapters when
+// requests ask for them.
+package orderdesk
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/conc"
+
+	"fireflypier.example/fireflypier/internal/permit"
+	"fireflypier.example/fireflypier/internal/serving/duty"
+	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/stocking"
+	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
+)
+
+const (
+	// planInterval is the time between two decisions.
+	planInterval = 150 * time.Millisecond
+	// reportInterval is the time between two reports of a quiet engine,
+	// activeInterval that while orders are under way. Reports are priced.
+	reportInterval = 1500 * time.Millisecond
+	activeInterval = 250 * time.Millisecond
+	// refusedPause is the time without orders after an engine refused one:
+	// its next report shows why.
+	refusedPause = 500 * time.Millisecond
+	// resendAfter is the time after which an order that was not answered and
+	// has shown no effect is sent again.
+	resendAfter = time.Second
+	// loadsAtOnce bounds the model loads under way; the weight store serves
+	// two at full speed on the smallest sites.
+	loadsAtOnce = 2
+)
+
+// Engines sends orders; platform.Targets implements it.
+type Engines interface {
+	Report(ctx context.Context, addr netip.AddrPort) (*target.Report, error)
+	Order(ctx context.Context, to *target.Target, o *target.Order) (target.Outcome, error)
+}
+
+// Parts are what a Desk stands on.
+type Parts struct {
+	// Name is what engines are told of the sender: the VM's address.
+	Name    string
+	Store   rowstore.Store
+	Duty    *duty.Duty
+	Engines Engines
+	// Policy is the configuration in force, Targets the live targets, Demand
+	// that of all VMs, Requests the unfinished work at a target.
+	Policy   func() *policy.Policy
+	Targets  func() []*target.Target
+	Demand   func() map[weightsdemand.Key]weightsdemand.Level
+	Requests func(id string) int
+	// Held tells what an engine holds as soon as that changes.
+	Held   func(id string, born int64, held []target.Held)
+	Clock  clockwork.Clock
+	Logger hclog.Logger
+}
+
+// Desk gives orders. Its methods may be called at the same time.
+type Desk struct {
+	Parts
+	done chan struct{}
+	wake chan struct{}
+
+	mu      sync.Mutex
+	fence   int64
+	engines map[string]*engine
+	ledgers map[string]rowstore.Row
+	permits map[string]*permit.Permit
+	busy    map[string]bool
+}
+
+// New returns a desk without accounts.
+func New(p Parts) *Desk {
+	return &Desk{Parts: p, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+}
+
+// Run gives orders while the duty is held, until ctx ends.
+func (d *Desk) Run(ctx context.Context) {
+	defer close(d.done)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ticker := d.Clock.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.Chan():
+		case <-d.wake:
+		case <-ctx.Done():
+			return
+		}
+		if term := d.Duty.Term(); term != nil && d.begin(ctx, term) {
+			d.step(ctx, term, &wg)
+		}
+	}
+}
+
+// Done is closed when Run has returned.
+func (d *Desk) Done() <-chan struct{} { return d.done }
+
+// begin starts the accounts anew in a new term: with the ledger first, and
+// with reports that are asked for after it was read.
+func (d *Desk) begin(ctx context.Context, term *duty.Term) bool {
+	d.mu.Lock()
+	same := d.fence == term.Fence
+	d.mu.Unlock()
+	if same {
+		return true
+	}
+	page, err := d.Store.List(ctx, rowstore.Ledgers)
+	if err != nil {
+		d.Logger.Warn("ledger not read, no orders yet", "fence", term.Fence, "error", err)
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fence = term.Fence
+	d.engines = make(map[string]*engine)
+	d.busy = make(map[string]bool)
+	d.permits = make(map[string]*permit.Permit)
+	d.ledgers = make(map[string]rowstore.Row, len(page.Rows))
+	for _, r := range page.Rows {
+		d.ledgers[r.Key] = r
+	}
+	d.Logger.Info("orders begin", "fence", term.Fence, "ledger_rows", len(page.Rows), "ledger_version", page.Version)
+	return true
+}
+
+// step asks for the reports that are due, and begins the orders to give.
+func (d *Desk) step(ctx context.Context, term *duty.Term, wg *conc.WaitGroup) {
+	p := d.Policy()
+	if p == nil {
+		return
+	}
+	now := d.Clock.Now()
+	live := d.refresh(p)
+	for _, e := range live {
+		d.spawn(wg, e, func() { d.tend(ctx, term, p, e, now) })
+	}
+	d.plan(ctx, term, p, live, wg)
+}
+
+// refresh returns the accounts of all live engines; a new incarnation begins
+// with an empty one.
+func (d *Desk) refresh(p *policy.Policy) []*engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seen := make(map[string]bool)
+	var live []*engine
+	for _, t := range d.Targets() {
+		pool, ok := p.Pool(t.Pool)
+		if !ok || pool.Engine == nil {
+			continue
+		}
+		seen[t.ID] = true
+		e := d.engines[t.ID]
+		if e == nil || e.target.Born != t.Born || e.target.Address != t.Address {
+			e = newEngine(t)
+			e.inherited = true
+			d.inherit(e)
+			d.engines[t.ID] = e
+		}
+		live = append(live, e)
+	}
+	for id := range d.engines {
+		if !seen[id] {
+			delete(d.engines, id)
+		}
+	}
+	return live
+}
+
+// inherit takes over an order of a former term from the ledger.
+func (d *Desk) inherit(e *engine) {
+	row, ok := d.ledgers[e.target.ID]
+	if !ok {
+		return
+	}
+	e.ledgerVersion = row.Version
+	r, err := decodeLedger(row.Value)
+	if err != nil {
+		d.Logger.Error("ledger row cannot be read", "engine", e.target.ID, "version", row.Version, "error", err)
+		return
+	}
+	if r.Born == e.target.Born {
+		e.loading, e.uncertain, e.loadSent = &r.Pending, true, d.Clock.Now()
+	}
+}
+
+// spawn runs f unless something runs for the engine already.
+func (d *Desk) spawn(wg *conc.WaitGroup, e *engine, f func()) {
+	d.mu.Lock()
+	busy := d.busy[e.target.ID]
+	d.busy[e.target.ID] = true
+	d.mu.Unlock()
+	if busy {
+		return
+	}
+	wg.Go(func() {
+		defer func() {
+			d.mu.Lock()
+			delete(d.busy, e.target.ID)
+			d.mu.Unlock()
+		}()
+		f()
+	})
+}
+
+// tend asks for a report if it is due, and finishes what was begun.
+func (d *Desk) tend(ctx context.Context, term *duty.Term, p *policy.Policy, e *engine, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	interval := reportInterval
+	if e.loading != nil || e.dropping != "" || len(e.leaving) > 0 || e.report == nil || e.report.Busy {
+		interval = activeInterval
+	}
+	if now.Sub(e.asked) >= interval {
+		d.ask(ctx, e)
+	}
+	if e.report == nil {
+		return
+	}
+	pool, ok := p.Pool(e.target.Pool)
+	if !ok || pool.Engine == nil {
+		return
+	}
+	switch {
+	case e.loading != nil && e.uncertain && e.report.Orders == e.loading.Expected && now.Sub(e.loadSent) > resendAfter && e.ready(now):
+		d.sendLoad(ctx, term, e)
+	case e.dropping == "" && e.loading == nil && e.ready(now):
+		d.dropNext(ctx, term, e, now)
+	}
+}
+
+// ask gets a report.
+func (d *Desk) ask(ctx context.Context, e *engine) {
+	asked := d.Clock.Now()
+	r, err := d.Engines.Report(ctx, e.target.Address)
+	if err != nil {
+		d.Logger.Debug("no report", "engine", e.target.ID, "error", err)
+		e.asked = asked // not again at once
+		return
+	}
+	if r.Born != e.target.Born {
+		return // the target's row will tell of its new incarnation
+	}
+	e.observe(r, asked, d.Clock.Now())
+	d.Held(e.target.ID, e.target.Born, e.held())
+}
+
+// order sends one order if the term still lasts.
+func (d *Desk) order(ctx context.Context, term *duty.Term, e *engine, o target.Order) target.Outcome {
+	o.Expected, o.Holder, o.Fence = e.orders, d.Name, term.Fence
+	if !term.Valid() {
+		return target.NotSent
+	}
+	outcome, err := d.Engines.Order(ctx, e.target, &o)
+	d.Logger.Info("order", "engine", e.target.ID, "operation", o.Operation.String(), "model", o.Model, "adapter", o.Adapter,
+		"expected", o.Expected, "fence", o.Fence, "outcome", outcome.String(), "report_age_ms", d.Clock.Since(e.asked).Milliseconds(), "error", err)
+	switch outcome {
+	case target.Accepted:
+		e.orders++
+		e.inherited = false
+	case target.Refused, target.Invalid, target.Misdirected, target.Fenced, target.NotSent:
+		e.blockedUntil = d.Clock.Now().Add(refusedPause)
+	case target.Unanswered:
+		e.blockedUntil = d.Clock.Now().Add(resendAfter)
+	case target.Holds:
+	}
+	return outcome
+}
+
+// dropNext orders the unloading of a model whose notice is over.
+func (d *Desk) dropNext(ctx context.Context, term *duty.Term, e *engine, now time.Time) {
+	for m, since := range e.leaving {
+		if now.Sub(since) < leaveNotice {
+			continue
+		}
+		outcome := d.order(ctx, term, e, target.Order{Operation: target.Unload, Model: m})
+		if outcome == target.Accepted || outcome == target.Holds || outcome == target.Unanswered {
+			e.dropping, e.dropSent = m, d.Clock.Now()
+		}
+		return
+	}
+}
+
+// plan decides what models to move, and begins it.
+func (d *Desk) plan(ctx context.Context, term *duty.Term, p *policy.Policy, live []*engine, wg *conc.WaitGroup) {
+	demand := d.Demand()
+	for i := range p.Pools {
+		pool := &p.Pools[i]
+		if pool.Engine == nil {
+			continue
+		}
+		in, loading := d.input(pool, live, demand)
+		if in == nil {
+			continue
+		}
+		pm := d.permit(pool)
+		in.ColdLoads, in.Loads = pm.Available(in.Now, 0), max(0, loadsAtOnce-loading)
+		for _, a := range stocking.Next(in) {
+			d.begins(ctx, term, pool, a, live, pm, wg)
+		}
+	}
+}
+
+func (d *Desk) permit(pool *policy.Pool) *permit.Permit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pm := d.permits[pool.Name]
+	if pm == nil {
+		pm = permit.New()
+		pm.SetLimits(pool.Engine.LoadsPerSecond, 0, 1)
+		d.permits[pool.Name] = pm
+	}
+	return pm
+}
+
+// input describes a pool's engines; nil until every engine that can be
+// reached has reported.
+func (d *Desk) input(pool *policy.Pool, live []*engine, demand map[weightsdemand.Key]weightsdemand.Level) (in *stocking.Input, loading int) {
+	now := d.Clock.Now()
+	in = &stocking.Input{Spec: pool.Engine, Demand: make(map[string]stocking.Demand), Now: now}
+	for k, l := range demand {
+		if k.Pool == pool.Name {
+			m := in.Demand[k.Model]
+			m.TokensPerSecond += l.TokensPerSecond
+			m.Waiting += l.Waiting
+			in.Demand[k.Model] = m
+		}
+	}
+	for _, e := range live {
+		if e.target.Pool != pool.Name || !e.mu.TryLock() {
+			continue
+		}
+		if e.report != nil {
+			in.Engines = append(in.Engines, d.describe(e, pool.Engine, now))
+			if e.loading != nil {
+				loading++
+			}
+		}
+		e.mu.Unlock()
+	}
+	if len(in.Engines) == 0 {
+		return nil, 0
+	}
+	return in, loading
+}
+
+func (d *Desk) describe(e *engine, spec *policy.Engine, now time.Time) stocking.Engine {
+	s := stocking.Engine{
+		ID:       e.target.ID,
+		Leaving:  e.target.Draining,
+		Models:   make(map[string]time.Time),
+		FreeMB:   e.freeMB(spec),
+		Idle:     e.ready(now) && e.loading == nil && e.dropping == "" && len(e.leaving) == 0,
+		InMemory: set(e.report.Weights.InMemory),
+		OnDisk:   set(e.report.Weights.OnDisk),
+		Requests: d.Requests(e.target.ID),
+	}
+	for i := range e.report.Weights.Models {
+		m := e.report.Weights.Models[i].Model
+		if _, leaves := e.leaving[m]; !leaves {
+			s.Models[m] = e.since[m]
+		}
+	}
+	if e.loading != nil {
+		s.Models[e.loading.Model] = e.loadSent
+	}
+	return s
+}
+
+func set(names []string) map[string]bool {
+	s := make(map[string]bool, len(names))
+	for _, n := range names {
+		s[n] = true
+	}
+	return s
+}
+
+// begins starts one action of a plan.
+func (d *Desk) begins(ctx context.Context, term *duty.Term, pool *policy.Pool, a stocking.Action, live []*engine, pm *permit.Permit, wg *conc.WaitGroup) {
+	for _, e := range live {
+		if e.target.ID != a.Engine {
+			continue
+		}
+		if a.Cold {
+			pm.Take(1)
+		}
+		d.spawn(wg, e, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			d.Logger.Info("plan", "engine", a.Engine, "model", a.Model, "drop", a.Drop, "cold", a.Cold, "reason", a.Reason, "report_age_ms", d.Clock.Since(e.asked).Milliseconds())
+			if a.Drop {
+				e.leaving[a.Model] = d.Clock.Now()
+				d.Held(e.target.ID, e.target.Born, e.held())
+				return
+			}
+			d.load(ctx, term, pool.Engine, e, a.Model)
+		})
+	}
+}
+
+// load records a model load in the ledger and then orders it.
+func (d *Desk) load(ctx context.Context, term *duty.Term, spec *policy.Engine, e *engine, model string) {
+	if e.loading != nil || e.freeMB(spec) < weightsMB(spec, model) {
+		return
+	}
+	entry := pending{Operation: target.Load, Model: model, Expected: e.orders, Fence: term.Fence}
+	value, err := json.Marshal(&ledgerRow{Born: e.target.Born, Pending: entry})
+	if err != nil {
+		d.Logger.Error("ledger row not encoded", "engine", e.target.ID, "error", err)
+		return
+	}
+	result, err := d.Store.Write(ctx, rowstore.Write{Table: rowstore.Ledgers, Key: e.target.ID, Expect: e.ledgerVersion, Value: value})
+	if err != nil || !result.Applied {
+		d.Logger.Warn("load not recorded, not ordered", "engine", e.target.ID, "model", model, "applied", result.Applied, "error", err)
+		e.blockedUntil = d.Clock.Now().Add(refusedPause)
+		for _, row := range result.Current {
+			e.ledgerVersion = row.Version // written by an earlier, unanswered call
+		}
+		return
+	}
+	e.ledgerVersion = result.Version
+	e.loading = &entry
+	d.sendLoad(ctx, term, e)
+}
+
+// sendLoad orders the load that is in the ledger.
+func (d *Desk) sendLoad(ctx context.Context, term *duty.Term, e *engine) {
+	e.orders = e.loading.Expected
+	e.loadSent = d.Clock.Now()
+	switch d.order(ctx, term, e, target.Order{Operation: target.Load, Model: e.loading.Model}) {
+	case target.Accepted:
+		e.uncertain = false
+	case target.Holds, target.Invalid, target.Misdirected:
+		e.loading = nil
+	case target.Unanswered:
+		e.uncertain = true
+	case target.Refused, target.Fenced, target.NotSent:
+		// An earlier copy may have been accepted; reports will tell.
+		if !e.uncertain {
+			e.loading = nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -0,0 +1,279 @@
+// Package tablefeed keeps a copy of one table of the platform's store. It
+// follows the store's changes, and takes them from peers where the store turns
+// this VM away.
+package tablefeed
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+)
+
+const (
+	// followWait bounds one long poll. A connection that has fallen silent
+	// is noticed after it; peers tell of changes meanwhile.
+	followWait = 4 * time.Second
+	// followGap is the least time between two polls, so that a table that
+	// changes all the time does not cost a call for each change.
+	followGap = 250 * time.Millisecond
+	// retryGap is the time between two tries while the store fails; it keeps
+	// the calls of all VMs far below the store's rate.
+	retryGap = 400 * time.Millisecond
+)
+
+// Feed is a copy of one table. Its methods may be called at the same time.
+type Feed struct {
+	store   rowstore.Store
+	table   rowstore.Table
+	name    string
+	clock   clockwork.Clock
+	logger  hclog.Logger
+	changed func(rows []rowstore.Row)
+	done    chan struct{}
+
+	hold time.Duration
+
+	mu        sync.Mutex
+	rows      map[string]rowstore.Row
+	version   int64
+	changedAt int64
+	read      bool
+	confirmed time.Time
+	failing   time.Time
+	recovered time.Time
+	held      map[string]time.Time
+}
+
+// Option changes a Feed under construction.
+type Option func(*Feed)
+
+// WithHold keeps rows that were dropped during an outage of the store, or up
+// to d after it, until d after the outage.
+func WithHold(d time.Duration) Option {
+	return func(f *Feed) { f.hold = d }
+}
+
+// WithClock replaces the real clock.
+func WithClock(c clockwork.Clock) Option {
+	return func(f *Feed) { f.clock = c }
+}
+
+// New returns an empty copy of a table. changed is called with the rows that
+// have changed, deleted ones included, in order.
+func New(store rowstore.Store, t rowstore.Table, name string, logger hclog.Logger, changed func([]rowstore.Row), opts ...Option) *Feed {
+	f := &Feed{
+		store:   store,
+		table:   t,
+		name:    name,
+		clock:   clockwork.NewRealClock(),
+		logger:  logger,
+		changed: changed,
+		done:    make(chan struct{}),
+		rows:    make(map[string]rowstore.Row),
+		held:    make(map[string]time.Time),
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Run follows the table until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	defer close(f.done)
+	for ctx.Err() == nil {
+		began := f.clock.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		gap := followGap - f.clock.Since(began)
+		if err != nil {
+			gap = retryGap
+		}
+		f.note(err)
+		f.expire()
+		if gap > 0 {
+			select {
+			case <-f.clock.After(gap):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// Done is closed when Run has returned.
+func (f *Feed) Done() <-chan struct{} { return f.done }
+
+func (f *Feed) step(ctx context.Context) error {
+	f.mu.Lock()
+	version, read, holds := f.version, f.read, len(f.held) > 0
+	f.mu.Unlock()
+	if !read {
+		return f.list(ctx)
+	}
+	wait := followWait
+	if holds {
+		wait = f.hold / 2
+	}
+	page, err := f.store.Follow(ctx, f.table, version, wait)
+	if errors.Is(err, rowstore.ErrHistoryGone) {
+		f.logger.Info("changes of a table are no longer known, listing it", "table", f.name, "after_version", version)
+		return f.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.apply(page, false)
+	return nil
+}
+
+func (f *Feed) list(ctx context.Context) error {
+	page, err := f.store.List(ctx, f.table)
+	if err != nil {
+		return err
+	}
+	f.apply(page, true)
+	return nil
+}
+
+// note records the beginning and the end of an outage of the store.
+func (f *Feed) note(err error) {
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil:
+		f.confirmed = now
+		if !f.failing.IsZero() {
+			f.logger.Info("store regained", "table", f.name, "out_for", now.Sub(f.failing), "version", f.version)
+			f.recovered = now
+			f.failing = time.Time{}
+		}
+	case f.failing.IsZero():
+		f.failing = now
+		f.logger.Warn("store lost", "table", f.name, "version", f.version, "error", err)
+	}
+}
+
+// apply takes in a page of the store; whole pages list the table.
+func (f *Feed) apply(page rowstore.Page, whole bool) {
+	now := f.clock.Now()
+	f.mu.Lock()
+	var changes []rowstore.Row
+	present := make(map[string]bool, len(page.Rows))
+	for _, r := range page.Rows {
+		present[r.Key] = !r.Deleted
+		f.changedAt = max(f.changedAt, r.Version)
+		if old, ok := f.rows[r.Key]; ok && old.Version >= r.Version {
+			continue
+		}
+		if r.Deleted {
+			changes = f.drop(r.Key, now, changes)
+			continue
+		}
+		delete(f.held, r.Key)
+		f.rows[r.Key] = r
+		changes = append(changes, r)
+	}
+	if whole {
+		for key, r := range f.rows {
+			if !present[key] && r.Version <= page.Version {
+				changes = f.drop(key, now, changes)
+			}
+		}
+	}
+	f.version = max(f.version, page.Version)
+	f.read = true
+	f.mu.Unlock()
+	if len(changes) > 0 {
+		f.changed(changes)
+	}
+}
+
+// drop deletes a row, or holds it while its deletion may be due to an outage.
+func (f *Feed) drop(key string, now time.Time, changes []rowstore.Row) []rowstore.Row {
+	if _, ok := f.rows[key]; !ok {
+		return changes
+	}
+	if f.hold > 0 && (!f.failing.IsZero() || now.Sub(f.recovered) < f.hold) {
+		if _, ok := f.held[key]; !ok {
+			f.held[key] = now.Add(f.hold)
+		}
+		return changes
+	}
+	delete(f.rows, key)
+	delete(f.held, key)
+	return append(changes, rowstore.Row{Key: key, Deleted: true})
+}
+
+// expire drops held rows whose time is over.
+func (f *Feed) expire() {
+	now := f.clock.Now()
+	f.mu.Lock()
+	var changes []rowstore.Row
+	for key, until := range f.held {
+		if now.Before(until) {
+			continue
+		}
+		delete(f.held, key)
+		delete(f.rows, key)
+		changes = append(changes, rowstore.Row{Key: key, Deleted: true})
+		f.logger.Info("row has not come back after the outage", "table", f.name, "key", key)
+	}
+	f.mu.Unlock()
+	if len(changes) > 0 {
+		f.changed(changes)
+	}
+}
+
+// Merge takes in the whole table as a peer knows it.
+func (f *Feed) Merge(page rowstore.Page) {
+	f.mu.Lock()
+	older := f.read && page.Version <= f.version
+	f.mu.Unlock()
+	if !older {
+		f.apply(page, true)
+	}
+}
+
+// Page returns the whole table.
+func (f *Feed) Page() rowstore.Page {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	page := rowstore.Page{Version: f.version}
+	for _, r := range f.rows {
+		page.Rows = append(page.Rows, r)
+	}
+	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Key < page.Rows[j].Key })
+	return page
+}
+
+// Version returns the newest version that the copy covers, and whether the
+// table was ever read.
+func (f *Feed) Version() (version int64, read bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version, f.read
+}
+
+// ChangedAt returns the version of the newest change that the copy covers.
+func (f *Feed) ChangedAt() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changedAt
+}
+
+// Failing returns since when the store fails, zero if it does not.
+func (f *Feed) Failing() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
--- /dev/null
+++ b/internal/serving/weightsdemand/weightsdemand.go
@@ -0,0 +1,82 @@
+// Package weightsdemand measures what callers ask of each model and adapter.
+// It has no input or output.
+package weightsdemand
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// timeConstant is that of the estimate: it follows a shift of demand
+	// within seconds and spans several requests of a busy model.
+	timeConstant = 2500 * time.Millisecond
+	// waitsFor is how long a request counts as waiting after it was told of.
+	waitsFor = 1200 * time.Millisecond
+	// forgetBelow is the work in tokens a second that is no demand any more.
+	forgetBelow = 1.0
+)
+
+// Key names a model, or an adapter of it, in a pool.
+type Key struct {
+	Pool, Model, Adapter string
+}
+
+// Level is the demand for one key.
+type Level struct {
+	// TokensPerSecond is the work that arrives, Waiting counts requests that
+	// no engine could take.
+	TokensPerSecond float64
+	Waiting         int
+}
+
+// Meter measures the demand at one VM. It is not safe for concurrent use.
+type Meter struct {
+	counts map[Key]*count
+}
+
+type count struct {
+	rate    float64
+	at      time.Time
+	waiting []time.Time
+}
+
+// New returns a meter without demand.
+func New() *Meter { return &Meter{counts: make(map[Key]*count)} }
+
+// Asked counts a request; waits tells that no engine could take it.
+func (m *Meter) Asked(k Key, tokens int, waits bool, now time.Time) {
+	c := m.counts[k]
+	if c == nil {
+		c = &count{at: now}
+		m.counts[k] = c
+	}
+	c.decay(now)
+	if waits {
+		c.waiting = append(c.waiting, now)
+		return
+	}
+	c.rate += float64(tokens) / timeConstant.Seconds()
+}
+
+func (c *count) decay(now time.Time) {
+	c.rate *= math.Exp(-max(0, now.Sub(c.at).Seconds()) / timeConstant.Seconds())
+	c.at = now
+	for len(c.waiting) > 0 && now.Sub(c.waiting[0]) > waitsFor {
+		c.waiting = c.waiting[1:]
+	}
+}
+
+// Levels returns the demand of all keys that have some.
+func (m *Meter) Levels(now time.Time) map[Key]Level {
+	levels := make(map[Key]Level, len(m.counts))
+	for k, c := range m.counts {
+		c.decay(now)
+		if c.rate < forgetBelow && len(c.waiting) == 0 {
+			delete(m.counts, k)
+			continue
+		}
+		levels[k] = Level{TokensPerSecond: c.rate, Waiting: len(c.waiting)}
+	}
+	return levels
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -38,11 +38,36 @@
 	single *http.Transport
 }
 
+// Option changes a Transport under construction.
+type Option func(*options)
+
+type options struct {
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	idleTimeout time.Duration
+}
+
+// WithDial replaces how connections are opened.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(o *options) { o.dial = dial }
+}
+
+// WithIdleTimeout sets how long a connection is kept without a request; it
+// should be shorter than the targets' own time.
+func WithIdleTimeout(d time.Duration) Option {
+	return func(o *options) { o.idleTimeout = d }
+}
+
 // New returns a transport without connections.
-func New() *Transport {
-	dialer := &net.Dialer{Timeout: defaultDialTimeout}
+func New(opts ...Option) *Transport {
+	o := options{
+		dial:        (&net.Dialer{Timeout: defaultDialTimeout}).DialContext,
+		idleTimeout: idleConnTimeout,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
+		c, err := o.dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -51,7 +76,7 @@
 	pooled := &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnsPerTarget,
-		IdleConnTimeout:     idleConnTimeout,
+		IdleConnTimeout:     o.idleTimeout,
 		DisableCompression:  true,
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
