--- a/internal/serving/allowance/allowance.go
+++ b/internal/serving/allowance/allowance.go
@@ -18,18 +18,21 @@
 	// floorShare is the part of an equal part that a VM keeps without any
 	// demand, for the first requests of a customer that moves to it.
 	floorShare = 0.2
-	// overageUsed and slackUsed are the parts of the operators' overage and
-	// slack that are given out; the rest covers parts that two VMs use at the
-	// same time while the demand moves, and restarts.
-	overageUsed = 0.5
-	slackUsed   = 0.35
+	// overageUsed is the part of the operators' overage that is given out,
+	// slackInRate and slackInBurst are the parts of their slack. The rest
+	// covers parts that two VMs use at the same time while the demand moves,
+	// and restarts.
+	overageUsed  = 0.5
+	slackInRate  = 0.5
+	slackInBurst = 0.3
 )
 
 // Tolerance is what a customer may exceed its rate by, over all VMs.
 type Tolerance struct {
 	// Overage is a share of the rate and the burst, Slack an amount in a
-	// window.
+	// Window.
 	Overage, Slack float64
+	Window         time.Duration
 }
 
 // Allowance is one VM's part of all customers' rates. It is not safe for
@@ -128,9 +131,10 @@
 	if !c.ByTokens {
 		slack /= max(1, c.PlainCost)
 	}
-	rate = c.Rate * (1 + overageUsed*a.tolerance.Overage) * share
-	capacity = (c.Burst*(1+overageUsed*a.tolerance.Overage) + slackUsed*slack) * share
-	return rate, max(capacity, rate)
+	over := 1 + overageUsed*a.tolerance.Overage
+	rate = (c.Rate*over + slackInRate*slack/a.tolerance.Window.Seconds()) * share
+	capacity = (c.Burst*over + slackInBurst*slack) * share
+	return rate, capacity
 }
 
 // share divides the rate by demand among the VMs that hear each other; each
--- a/internal/serving/duty/duty.go
+++ b/internal/serving/duty/duty.go
@@ -48,8 +48,8 @@
 	Incarnation int64          `json:"incarnation"`
 	// Fence is the fencing number of the term.
 	Fence int64 `json:"fence"`
-	// Until is the end of the term on the store's clock.
-	Until time.Duration `json:"until,format:nano"`
+	// UntilNanos is the end of the term on the store's clock, in nanoseconds.
+	UntilNanos int64 `json:"until_ns"`
 }
 
 // Term is one uninterrupted holding of the duty.
@@ -232,7 +232,7 @@
 	// The store's clock is at most this: it was read after storeAt.
 	now := d.storeTime + sent - d.storeAt
 	d.mu.Unlock()
-	value, err := json.Marshal(&row{Holder: d.self, Incarnation: d.incarnation, Fence: fence, Until: now + lasts})
+	value, err := json.Marshal(&row{Holder: d.self, Incarnation: d.incarnation, Fence: fence, UntilNanos: (now + lasts).Nanoseconds()})
 	if err != nil {
 		return rowstore.Result{}, sent, errors.Wrap(err, "encode duty")
 	}
@@ -273,11 +273,11 @@
 func (d *Duty) look(ctx context.Context) time.Duration {
 	r, version, storeTime, err := d.read(ctx)
 	if err != nil {
-		d.logger.Debug("duty not read", "error", err)
+		d.logger.Warn("duty not read", "error", err)
 		return lookInterval
 	}
 	// Orders of one VM need no gap, so its next process may begin at once.
-	free := r.Until + d.gap + takeMargin
+	free := time.Duration(r.UntilNanos) + d.gap + takeMargin
 	if version != 0 && r.Holder != d.self && storeTime < free {
 		return min(max(free-storeTime, rankDelay), lookInterval)
 	}
@@ -285,7 +285,11 @@
 	// each taking, and renewals keep it.
 	fence := version + 1
 	result, sent, err := d.write(ctx, version, fence, term)
-	if err != nil || !result.Applied {
+	if err != nil {
+		d.logger.Warn("duty not taken", "error", err)
+		return lookInterval
+	}
+	if !result.Applied {
 		return lookInterval
 	}
 	d.mu.Lock()
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -145,7 +145,7 @@
 		View:    n.view,
 		Sender:  p.Sender,
 		Placer:  placer{n},
-		Rates:   allowance.New(allowance.Tolerance{Overage: s.Bounds.RateOverage, Slack: s.Bounds.RateSlack}),
+		Rates:   allowance.New(allowance.Tolerance{Overage: s.Bounds.RateOverage, Slack: s.Bounds.RateSlack, Window: s.Bounds.RateWindow}),
 		Retries: retrybudget.New(retrybudget.Bound{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack}),
 		VMs:     func() int { return 1 + len(n.mesh.Peers()) },
 		Metrics: forward.NewMetrics(n.registry),
--- a/internal/serving/orderdesk/engine.go
+++ b/internal/serving/orderdesk/engine.go
@@ -68,7 +68,9 @@
 	loadSent  time.Time
 	// leaving lists models that are told to leave, with the time since when;
 	// dropping is the one whose unloading was ordered.
+	// intended is the model that they make way for.
 	leaving  map[string]time.Time
+	intended string
 	dropping string
 	dropSent time.Time
 	// issued lists adapters that were ordered and not reported yet, dropped
--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	// resendAfter is the time after which an order that was not answered and
 	// has shown no effect is sent again.
 	resendAfter = time.Second
+	// settleTime is the time without a new engine after which a term begins to
+	// place models: engines that are not known yet may hold them.
+	settleTime = 1500 * time.Millisecond
 	// loadsAtOnce bounds the model loads under way; the weight store serves
 	// two at full speed on the smallest sites.
 	loadsAtOnce = 2
@@ -75,6 +79,10 @@
 
 	mu      sync.Mutex
 	fence   int64
+	// newest is when the last new engine was seen; settled tells that the
+	// engines of this term are known.
+	newest  time.Time
+	settled bool
 	engines map[string]*engine
 	ledgers map[string]rowstore.Row
 	permits map[string]*permit.Permit
@@ -125,7 +133,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.fence = term.Fence
+	d.fence, d.newest = term.Fence, d.Clock.Now()
+	d.settled = false
 	d.engines = make(map[string]*engine)
 	d.busy = make(map[string]bool)
 	d.permits = make(map[string]*permit.Permit)
@@ -145,10 +154,19 @@
 	}
 	now := d.Clock.Now()
 	live := d.refresh(p)
+	if d.isSettled(now) {
+		d.plan(ctx, term, p, live, wg)
+	}
 	for _, e := range live {
 		d.spawn(wg, e, func() { d.tend(ctx, term, p, e, now) })
 	}
-	d.plan(ctx, term, p, live, wg)
+}
+
+func (d *Desk) isSettled(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settled = d.settled || now.Sub(d.newest) > settleTime
+	return d.settled
 }
 
 // refresh returns the accounts of all live engines; a new incarnation begins
@@ -168,6 +186,7 @@
 		if e == nil || e.target.Born != t.Born || e.target.Address != t.Address {
 			e = newEngine(t)
 			e.inherited = true
+			d.newest = d.Clock.Now()
 			d.inherit(e)
 			d.engines[t.ID] = e
 		}
@@ -239,10 +258,30 @@
 	case e.loading != nil && e.uncertain && e.report.Orders == e.loading.Expected && now.Sub(e.loadSent) > resendAfter && e.ready(now):
 		d.sendLoad(ctx, term, e)
 	case e.dropping == "" && e.loading == nil && e.ready(now):
+		if len(e.leaving) == 0 && e.intended != "" {
+			d.loadIntended(ctx, term, pool, e, now)
+			return
+		}
 		d.dropNext(ctx, term, e, now)
 	}
 }
 
+// loadIntended loads the model that others have made way for.
+func (d *Desk) loadIntended(ctx context.Context, term *duty.Term, pool *policy.Pool, e *engine, now time.Time) {
+	w := e.report.Weights
+	if !slices.Contains(w.InMemory, e.intended) && !slices.Contains(w.OnDisk, e.intended) {
+		pm := d.permit(pool)
+		if pm.Available(now, 0) == 0 {
+			return
+		}
+		pm.Take(1)
+	}
+	model := e.intended
+	e.intended = ""
+	d.load(ctx, term, pool.Engine, e, model)
+}
+
+
 // ask gets a report.
 func (d *Desk) ask(ctx context.Context, e *engine) {
 	asked := d.Clock.Now()
@@ -364,7 +403,7 @@
 		Leaving:  e.target.Draining,
 		Models:   make(map[string]time.Time),
 		FreeMB:   e.freeMB(spec),
-		Idle:     e.ready(now) && e.loading == nil && e.dropping == "" && len(e.leaving) == 0,
+		Idle:     e.ready(now) && e.loading == nil && e.dropping == "" && len(e.leaving) == 0 && e.intended == "",
 		InMemory: set(e.report.Weights.InMemory),
 		OnDisk:   set(e.report.Weights.OnDisk),
 		Requests: d.Requests(e.target.ID),
@@ -378,6 +417,9 @@
 	if e.loading != nil {
 		s.Models[e.loading.Model] = e.loadSent
 	}
+	if e.intended != "" {
+		s.Models[e.intended] = now
+	}
 	return s
 }
 
@@ -401,9 +443,9 @@
 		d.spawn(wg, e, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			d.Logger.Info("plan", "engine", a.Engine, "model", a.Model, "drop", a.Drop, "cold", a.Cold, "reason", a.Reason, "report_age_ms", d.Clock.Since(e.asked).Milliseconds())
+			d.Logger.Info("plan", "engine", a.Engine, "model", a.Model, "drop", a.Drop, "for", a.For, "cold", a.Cold, "reason", a.Reason, "report_age_ms", d.Clock.Since(e.asked).Milliseconds())
 			if a.Drop {
-				e.leaving[a.Model] = d.Clock.Now()
+				e.leaving[a.Model], e.intended = d.Clock.Now(), a.For
 				d.Held(e.target.ID, e.target.Born, e.held())
 				return
 			}
--- a/internal/serving/stocking/stocking.go
+++ b/internal/serving/stocking/stocking.go
@@ -67,8 +67,9 @@
 type Action struct {
 	// Engine is the engine's id, Model the model.
 	Engine, Model string
-	// Drop tells that the model makes way for another one.
+	// Drop tells that the model makes way for another one, For.
 	Drop bool
+	For  string
 	// Cold tells that the load comes from the weight store.
 	Cold bool
 	// Reason tells operators why.
@@ -265,7 +266,7 @@
 	if best == nil {
 		return Action{}, false
 	}
-	return Action{Engine: best.ID, Model: victim, Drop: true, Reason: ReasonRoom}, true
+	return Action{Engine: best.ID, Model: victim, Drop: true, For: model, Reason: ReasonRoom}, true
 }
 
 // mayGo reports whether a replica of a model may make way for another model.
