--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"context"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
@@ -11,6 +15,7 @@
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/serving/decisionlog"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/machine"
 	"fireflypier.example/fireflypier/internal/serving/node"
 	"fireflypier.example/fireflypier/internal/serving/socket"
 	"fireflypier.example/fireflypier/internal/transport"
@@ -26,7 +31,8 @@
 // Execute runs a node on the users' platform until SIGTERM or SIGINT.
 func (c *nodeCommand) Execute([]string) error {
 	debug.SetGCPercent(heapGrowth)
-	cfg, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	cfg, err := platform.ReadSettings(path)
 	if err != nil {
 		return failure.Wrap(failure.InvalidObjects, err, "%v", err)
 	}
@@ -53,5 +59,37 @@
 	}
 	ctx, stop := signalContext()
 	defer stop()
+	go followSettings(ctx, path, cfg, n, logger)
 	return n.Run(ctx)
 }
+
+// settingsInterval is the time between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = 5 * time.Second
+
+// followSettings reads the settings again on SIGHUP, and when they change.
+func followSettings(ctx context.Context, path string, last *machine.Settings, n *node.Node, logger hclog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			asked = true
+		case <-ticker.C:
+		}
+		cfg, err := platform.ReadSettings(path)
+		switch {
+		case err != nil:
+			logger.Error("settings cannot be read, the last ones stay", "error", err)
+		case asked || cfg.Bounds != last.Bounds:
+			n.Reload(cfg)
+			last = cfg
+		}
+	}
+}
--- a/internal/serving/allowance/allowance.go
+++ b/internal/serving/allowance/allowance.go
@@ -38,8 +38,10 @@
 // Allowance is one VM's part of all customers' rates. It is not safe for
 // concurrent use.
 type Allowance struct {
-	tolerance Tolerance
-	customers map[string]*bucket
+	tolerance    Tolerance
+	customers    map[string]*bucket
+	others       map[string]float64
+	live, silent int
 }
 
 // bucket is one customer's.
@@ -49,9 +51,6 @@
 	demand   float64
 	measured time.Time
 	asked    float64
-	others   float64
-	silent   int
-	live     int
 }
 
 // New returns an allowance without demand.
@@ -71,21 +70,14 @@
 	return demand
 }
 
-// Others sets the demand of a customer at the live peers, their number, and
-// the number of peers that are silent but may still admit requests.
-func (a *Allowance) Others(customer string, demand float64, live, silent int) {
-	b := a.bucket(customer)
-	b.others, b.live, b.silent = demand, live, silent
+// Others sets the demand at the live peers by customer, the number of live
+// peers, and the number of those that are silent but may still admit requests.
+func (a *Allowance) Others(demand map[string]float64, live, silent int) {
+	a.others, a.live, a.silent = demand, live, silent
 }
 
-// Customers returns the names of the customers that were ever asked for.
-func (a *Allowance) Customers() []string {
-	names := make([]string, 0, len(a.customers))
-	for name := range a.customers {
-		names = append(names, name)
-	}
-	return names
-}
+// SetTolerance replaces the tolerance.
+func (a *Allowance) SetTolerance(t Tolerance) { a.tolerance = t }
 
 // Take charges a cost to a customer. When it is refused, after tells when the
 // cost could be there.
@@ -113,7 +105,7 @@
 
 // Share returns the part of a customer's rate that this VM uses.
 func (a *Allowance) Share(customer string, now time.Time) float64 {
-	return a.bucket(customer).share(now)
+	return a.share(customer, a.bucket(customer), now)
 }
 
 func (a *Allowance) bucket(name string) *bucket {
@@ -126,7 +118,7 @@
 }
 
 func (a *Allowance) limits(c *policy.Customer, b *bucket, now time.Time) (rate, capacity float64) {
-	share := b.share(now)
+	share := a.share(c.Name, b, now)
 	slack := a.tolerance.Slack
 	if !c.ByTokens {
 		slack /= max(1, c.PlainCost)
@@ -139,12 +131,13 @@
 
 // share divides the rate by demand among the VMs that hear each other; each
 // silent one is left an equal part.
-func (b *bucket) share(now time.Time) float64 {
+func (a *Allowance) share(customer string, b *bucket, now time.Time) float64 {
 	b.measure(now)
-	members := float64(1 + b.live + b.silent)
-	heard := float64(1+b.live) / members
-	floor := floorShare * (b.demand + b.others) / float64(1+b.live)
-	total := b.demand + b.others + floor*float64(1+b.live)
+	others, live := a.others[customer], float64(1+a.live)
+	members := live + float64(a.silent)
+	heard := live / members
+	floor := floorShare * (b.demand + others) / live
+	total := b.demand + others + floor*live
 	if total <= 0 {
 		return 1 / members
 	}
@@ -165,11 +158,14 @@
 	b.asked, b.measured = 0, now
 }
 
-// fill adds what has come since the last call. A bucket begins with what one
-// second brings, so that restarts do not multiply the burst.
+// firstFill is the time whose refill a bucket begins with; it is short, so
+// that restarts do not multiply the burst.
+const firstFill = 250 * time.Millisecond
+
+// fill adds what has come since the last call.
 func (b *bucket) fill(rate, capacity float64, now time.Time) {
 	if b.filled.IsZero() {
-		b.level, b.filled = rate, now
+		b.level, b.filled = rate*firstFill.Seconds(), now
 		return
 	}
 	b.level = min(capacity, b.level+rate*max(0, now.Sub(b.filled).Seconds()))
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -92,9 +92,15 @@
 func (f *Forward) SetOthers(demand map[string]float64, live, silent int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, name := range f.Rates.Customers() {
-		f.Rates.Others(name, demand[name], live, silent)
-	}
+	f.Rates.Others(demand, live, silent)
+}
+
+// SetBounds replaces the operators' bounds.
+func (f *Forward) SetBounds(t allowance.Tolerance, b retrybudget.Bound) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Rates.SetTolerance(t)
+	f.Retries.SetBound(b)
 }
 
 // Drain waits until no request runs.
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -18,6 +18,9 @@
 const (
 	// tickInterval is the time between two divisions of the rates.
 	tickInterval = 300 * time.Millisecond
+	// unknownPeers is the number of other VMs that a VM assumes until it has
+	// read the list of members.
+	unknownPeers = 12
 	// fetchDelay is the time that this VM's own reading of the store is given
 	// before it takes a change from a peer.
 	fetchDelay = 120 * time.Millisecond
@@ -73,6 +76,7 @@
 
 // tick divides the rates anew by what peers have told.
 func (n *Node) tick(ctx context.Context) {
+	n.forward.SetOthers(nil, 0, unknownPeers)
 	ticker := n.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -96,6 +100,9 @@
 				demand[c.GetCustomer()] += float64(c.GetPerSecond())
 			}
 		}
+		if !n.joined.Load() {
+			silent = max(silent, unknownPeers-live)
+		}
 		n.forward.SetOthers(demand, live, silent)
 		if n.duty.Term() != nil {
 			n.desk.Used(n.totalDemand())
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -50,7 +50,7 @@
 	// lapseHold is how long rows of targets that were dropped around an
 	// outage of the store are kept: they are back within two seconds if the
 	// target lives.
-	lapseHold = 2500 * time.Millisecond
+	lapseHold = 2200 * time.Millisecond
 	// shutdownReserve is left between the last answer and the kill.
 	shutdownReserve = 500 * time.Millisecond
 	// drainShare is the part of the grace time in which connections are
@@ -90,7 +90,9 @@
 	forward  *forward.Forward
 
 	policy  atomic.Pointer[policy.Policy]
+	bounds  atomic.Pointer[machine.Bounds]
 	leaving atomic.Bool
+	joined  atomic.Bool
 
 	mu        sync.Mutex
 	demand    *weightsdemand.Meter
@@ -113,6 +115,7 @@
 		fetching:    make(map[rowstore.Table]bool),
 	}
 	s := p.Settings
+	n.bounds.Store(&s.Bounds)
 	n.policies = tablefeed.New(p.Store, rowstore.Policies, "policies", p.Logger, n.policyChanged)
 	n.targets = tablefeed.New(p.Store, rowstore.Targets, "targets", p.Logger, n.targetsChanged, tablefeed.WithHold(lapseHold))
 	var err error
@@ -145,8 +148,8 @@
 		View:    n.view,
 		Sender:  p.Sender,
 		Placer:  placer{n},
-		Rates:   allowance.New(allowance.Tolerance{Overage: s.Bounds.RateOverage, Slack: s.Bounds.RateSlack, Window: s.Bounds.RateWindow}),
-		Retries: retrybudget.New(retrybudget.Bound{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack}),
+		Rates:   allowance.New(tolerance(&s.Bounds)),
+		Retries: retrybudget.New(retryBound(&s.Bounds)),
 		VMs:     func() int { return 1 + len(n.mesh.Peers()) },
 		Metrics: forward.NewMetrics(n.registry),
 		Clock:   n.clock,
@@ -155,6 +158,26 @@
 	return n, nil
 }
 
+func tolerance(b *machine.Bounds) allowance.Tolerance {
+	return allowance.Tolerance{Overage: b.RateOverage, Slack: b.RateSlack, Window: b.RateWindow}
+}
+
+func retryBound(b *machine.Bounds) retrybudget.Bound {
+	return retrybudget.Bound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack}
+}
+
+// Reload puts the bounds of changed settings in force. Addresses stay as they
+// were at the start.
+func (n *Node) Reload(s *machine.Settings) {
+	if old := n.bounds.Load(); *old == s.Bounds {
+		n.Logger.Info("settings read again, nothing to change")
+		return
+	}
+	n.bounds.Store(&s.Bounds)
+	n.forward.SetBounds(tolerance(&s.Bounds), retryBound(&s.Bounds))
+	n.Logger.Info("settings read again, bounds changed", "bounds", s.Bounds)
+}
+
 // Run serves until ctx ends, then finishes its requests and stops.
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -181,7 +204,7 @@
 	n.wg.Go(func() { n.tick(work) })
 	n.Logger.Info("started", "incarnation", n.incarnation, "vm", n.Settings.Name, "data_centre", n.Settings.DataCentre)
 	<-ctx.Done()
-	n.Logger.Info("leaving", "grace", n.Settings.Bounds.Grace)
+	n.Logger.Info("leaving", "grace", n.bounds.Load().Grace)
 	n.leave(work, endDuty, front)
 	for _, s := range others {
 		_ = s.Close() // nothing runs there that must be finished
@@ -208,7 +231,7 @@
 	}{
 		{s.Front, front},
 		{s.Ready, n.server(n.Ready(n.ready))},
-		{s.Directory, n.server(n.Directory(n.addresses, func() time.Duration { return min(answerTTL, s.Bounds.AnswerTTL) }))},
+		{s.Directory, n.server(n.Directory(n.addresses, func() time.Duration { return min(answerTTL, n.bounds.Load().AnswerTTL) }))},
 		{s.Admin, n.server(admin.Handler())},
 	}
 	for _, l := range serve {
@@ -257,7 +280,7 @@
 	n.leaving.Store(true)
 	n.mesh.Announce(false, true)
 	endDuty()
-	grace := n.Settings.Bounds.Grace
+	grace := n.bounds.Load().Grace
 	select {
 	case <-n.clock.After(time.Duration(drainShare * float64(grace))):
 	case <-ctx.Done():
@@ -344,6 +367,7 @@
 		}
 		n.mesh.Add(m)
 	}
+	n.joined.Store(true)
 	n.Logger.Info("listed among the members", "members", len(page.Rows), "version", page.Version)
 	return nil
 }
--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -77,8 +77,8 @@
 	done chan struct{}
 	wake chan struct{}
 
-	mu      sync.Mutex
-	fence   int64
+	mu    sync.Mutex
+	fence int64
 	// newest is when the last new engine was seen; settled tells that the
 	// engines of this term are known.
 	newest  time.Time
@@ -281,7 +281,6 @@
 	d.load(ctx, term, pool.Engine, e, model)
 }
 
-
 // ask gets a report.
 func (d *Desk) ask(ctx context.Context, e *engine) {
 	asked := d.Clock.Now()
--- a/internal/serving/retrybudget/retrybudget.go
+++ b/internal/serving/retrybudget/retrybudget.go
@@ -42,6 +42,12 @@
 	return &Budget{bound: b, pools: make(map[string]*window)}
 }
 
+// SetBound replaces the bound; the counts begin anew.
+func (b *Budget) SetBound(bound Bound) {
+	b.bound = bound
+	b.pools = make(map[string]*window)
+}
+
 // Request counts a request for a pool.
 func (b *Budget) Request(pool string, now time.Time) {
 	w := b.window(pool, now)
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -23,6 +23,9 @@
 	// followGap is the least time between two polls, so that a table that
 	// changes all the time does not cost a call for each change.
 	followGap = 250 * time.Millisecond
+	// heldWait bounds a long poll while rows are held, so that they are
+	// dropped in time.
+	heldWait = 300 * time.Millisecond
 	// retryGap is the time between two tries while the store fails; it keeps
 	// the calls of all VMs far below the store's rate.
 	retryGap = 400 * time.Millisecond
@@ -45,7 +48,6 @@
 	version   int64
 	changedAt int64
 	read      bool
-	confirmed time.Time
 	failing   time.Time
 	recovered time.Time
 	held      map[string]time.Time
@@ -54,8 +56,8 @@
 // Option changes a Feed under construction.
 type Option func(*Feed)
 
-// WithHold keeps rows that were dropped during an outage of the store, or up
-// to d after it, until d after the outage.
+// WithHold keeps rows that the store drops within d after an outage, until d
+// after the outage: their owners may not have reached the store meanwhile.
 func WithHold(d time.Duration) Option {
 	return func(f *Feed) { f.hold = d }
 }
@@ -98,7 +100,9 @@
 		if err != nil {
 			gap = retryGap
 		}
-		f.note(err)
+		if err != nil {
+			f.beginOutage(err)
+		}
 		f.expire()
 		if gap > 0 {
 			select {
@@ -121,7 +125,7 @@
 	}
 	wait := followWait
 	if holds {
-		wait = f.hold / 2
+		wait = heldWait
 	}
 	page, err := f.store.Follow(ctx, f.table, version, wait)
 	if errors.Is(err, rowstore.ErrHistoryGone) {
@@ -131,7 +135,8 @@
 	if err != nil {
 		return err
 	}
-	f.apply(page, false)
+	f.endOutage()
+	f.apply(page, false, f.hold)
 	return nil
 }
 
@@ -140,31 +145,36 @@
 	if err != nil {
 		return err
 	}
-	f.apply(page, true)
+	f.endOutage()
+	f.apply(page, true, f.hold)
 	return nil
 }
 
-// note records the beginning and the end of an outage of the store.
-func (f *Feed) note(err error) {
-	now := f.clock.Now()
+// beginOutage records that the store fails.
+func (f *Feed) beginOutage(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case err == nil:
-		f.confirmed = now
-		if !f.failing.IsZero() {
-			f.logger.Info("store regained", "table", f.name, "out_for", now.Sub(f.failing), "version", f.version)
-			f.recovered = now
-			f.failing = time.Time{}
-		}
-	case f.failing.IsZero():
-		f.failing = now
+	if f.failing.IsZero() {
+		f.failing = f.clock.Now()
 		f.logger.Warn("store lost", "table", f.name, "version", f.version, "error", err)
 	}
 }
 
-// apply takes in a page of the store; whole pages list the table.
-func (f *Feed) apply(page rowstore.Page, whole bool) {
+// endOutage records that the store has answered.
+func (f *Feed) endOutage() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing.IsZero() {
+		return
+	}
+	f.recovered = f.clock.Now()
+	f.logger.Info("store regained", "table", f.name, "out_for_ms", f.recovered.Sub(f.failing).Milliseconds(), "version", f.version)
+	f.failing = time.Time{}
+}
+
+// apply takes in a page; whole pages list the table. Rows that are dropped
+// within hold after an outage are kept until then.
+func (f *Feed) apply(page rowstore.Page, whole bool, hold time.Duration) {
 	now := f.clock.Now()
 	f.mu.Lock()
 	var changes []rowstore.Row
@@ -176,7 +186,7 @@
 			continue
 		}
 		if r.Deleted {
-			changes = f.drop(r.Key, now, changes)
+			changes = f.drop(r.Key, now, hold, changes)
 			continue
 		}
 		delete(f.held, r.Key)
@@ -186,7 +196,7 @@
 	if whole {
 		for key, r := range f.rows {
 			if !present[key] && r.Version <= page.Version {
-				changes = f.drop(key, now, changes)
+				changes = f.drop(key, now, hold, changes)
 			}
 		}
 	}
@@ -199,14 +209,12 @@
 }
 
 // drop deletes a row, or holds it while its deletion may be due to an outage.
-func (f *Feed) drop(key string, now time.Time, changes []rowstore.Row) []rowstore.Row {
+func (f *Feed) drop(key string, now time.Time, hold time.Duration, changes []rowstore.Row) []rowstore.Row {
 	if _, ok := f.rows[key]; !ok {
 		return changes
 	}
-	if f.hold > 0 && (!f.failing.IsZero() || now.Sub(f.recovered) < f.hold) {
-		if _, ok := f.held[key]; !ok {
-			f.held[key] = now.Add(f.hold)
-		}
+	if !f.recovered.IsZero() && now.Sub(f.recovered) < hold {
+		f.held[key] = f.recovered.Add(hold)
 		return changes
 	}
 	delete(f.rows, key)
@@ -225,6 +233,7 @@
 		}
 		delete(f.held, key)
 		delete(f.rows, key)
+		f.changedAt = max(f.changedAt, f.version) // so that peers take it over
 		changes = append(changes, rowstore.Row{Key: key, Deleted: true})
 		f.logger.Info("row has not come back after the outage", "table", f.name, "key", key)
 	}
@@ -234,13 +243,14 @@
 	}
 }
 
-// Merge takes in the whole table as a peer knows it.
+// Merge takes in the whole table as a peer knows it. Rows that the peer has
+// dropped are dropped at once: it has held them as long as needed.
 func (f *Feed) Merge(page rowstore.Page) {
 	f.mu.Lock()
 	older := f.read && page.Version <= f.version
 	f.mu.Unlock()
 	if !older {
-		f.apply(page, true)
+		f.apply(page, true, 0)
 	}
 }
 
