Bound rates by copies of one fleet bucket

Cause: dividing each rate among VMs by demand refused requests that the fleet had room for; a request of 10,000 tokens is large against a sixth of a bucket. Each VM now keeps a copy of the fleet's bucket, takes others' charges from their digests, and takes at most one and a half times its part between them.

--- a/internal/serving/allowance/allowance.go
+++ b/internal/serving/allowance/allowance.go
@@ -1,7 +1,9 @@
 // Package allowance bounds what one VM admits of each customer, so that all
-// VMs together keep to the customer's rate. Every VM uses the part of the rate
-// that is its part of the demand; a VM that cannot hear the others uses an
-// equal part. It has no input or output.
+// VMs together keep to the customer's rate. Every VM keeps a copy of one
+// bucket for the whole fleet: its own charges count at once, those of others
+// when their next digest tells of them. Until then a VM takes no more than its
+// part of the demand entitles it to, and a little more. It has no input or
+// output.
 package allowance
 
 import (
@@ -17,14 +19,19 @@
 	demandTime = 1500 * time.Millisecond
 	// floorShare is the part of an equal part that a VM keeps without any
 	// demand, for the first requests of a customer that moves to it.
-	floorShare = 0.2
+	floorShare = 0.3
+	// boost is how much more than its part a VM may take between two digests
+	// of the others; what is taken too much is repaid by the next refill.
+	boost = 1.5
 	// overageUsed is the part of the operators' overage that is given out,
 	// slackInRate and slackInBurst are the parts of their slack. The rest
-	// covers parts that two VMs use at the same time while the demand moves,
-	// and restarts.
+	// covers what VMs take at the same time, and restarts.
 	overageUsed  = 0.5
-	slackInRate  = 0.5
-	slackInBurst = 0.3
+	slackInRate  = 0.35
+	slackInBurst = 0.25
+	// firstFill is the time whose refill a bucket begins with; it is short,
+	// so that restarts do not multiply the burst.
+	firstFill = 250 * time.Millisecond
 )
 
 // Tolerance is what a customer may exceed its rate by, over all VMs.
@@ -35,8 +42,15 @@
 	Window         time.Duration
 }
 
-// Allowance is one VM's part of all customers' rates. It is not safe for
-// concurrent use.
+// Use is what one VM tells of a customer.
+type Use struct {
+	// PerSecond is the demand, Admitted all that was admitted since the
+	// VM's process began.
+	PerSecond, Admitted float64
+}
+
+// Allowance is one VM's copy of the buckets of all customers. It is not safe
+// for concurrent use.
 type Allowance struct {
 	tolerance    Tolerance
 	customers    map[string]*bucket
@@ -46,11 +60,22 @@
 
 // bucket is one customer's.
 type bucket struct {
-	level    float64
-	filled   time.Time
+	level  float64
+	filled time.Time
+	// demand is what callers ask for here, asked what has come since it was
+	// measured.
 	demand   float64
 	measured time.Time
 	asked    float64
+	// admitted is what this VM has admitted, peers what others have told.
+	admitted float64
+	peers    map[string]told
+}
+
+// told is a peer's last word.
+type told struct {
+	incarnation int64
+	admitted    float64
 }
 
 // New returns an allowance without demand.
@@ -58,16 +83,25 @@
 	return &Allowance{tolerance: t, customers: make(map[string]*bucket)}
 }
 
-// Demand returns the demand for each customer, in units a second.
-func (a *Allowance) Demand(now time.Time) map[string]float64 {
-	demand := make(map[string]float64, len(a.customers))
+// Uses returns what to tell of each customer.
+func (a *Allowance) Uses(now time.Time) map[string]Use {
+	uses := make(map[string]Use, len(a.customers))
 	for name, b := range a.customers {
 		b.measure(now)
-		if b.demand >= 1 {
-			demand[name] = b.demand
-		}
+		uses[name] = Use{PerSecond: b.demand, Admitted: b.admitted}
 	}
-	return demand
+	return uses
+}
+
+// Told takes in what a peer has admitted since its process began.
+func (a *Allowance) Told(peer string, incarnation int64, customer string, admitted float64) {
+	b := a.bucket(customer)
+	last := b.peers[peer]
+	if last.incarnation != incarnation {
+		last = told{incarnation: incarnation}
+	}
+	b.level -= max(0, admitted-last.admitted)
+	b.peers[peer] = told{incarnation: incarnation, admitted: max(admitted, last.admitted)}
 }
 
 // Others sets the demand at the live peers by customer, the number of live
@@ -87,61 +121,70 @@
 	}
 	b := a.bucket(c.Name)
 	b.asked += cost
-	rate, capacity := a.limits(c, b, now)
+	rate, capacity := a.limits(c)
 	b.fill(rate, capacity, now)
-	if b.level >= cost || (cost > capacity && b.level >= capacity) {
+	part := min(1, boost*a.share(c.Name, b, now))
+	// A request above the part of a full bucket needs a full bucket.
+	needed := min(cost/part, max(capacity, cost))
+	if b.level >= needed || b.level >= capacity {
 		b.level -= cost
+		b.admitted += cost
 		return true, 0
 	}
-	return false, time.Duration((cost - b.level) / rate * float64(time.Second))
+	return false, time.Duration((needed - b.level) / rate * float64(time.Second))
 }
 
 // Refund returns the cost of a request that has not run.
 func (a *Allowance) Refund(c *policy.Customer, cost float64) {
-	if c.Rate > 0 {
-		a.bucket(c.Name).level += cost
+	if c.Rate <= 0 {
+		return
 	}
+	b := a.bucket(c.Name)
+	b.level += cost
+	b.admitted -= cost
 }
 
-// Share returns the part of a customer's rate that this VM uses.
-func (a *Allowance) Share(customer string, now time.Time) float64 {
-	return a.share(customer, a.bucket(customer), now)
+// Level returns what the fleet's bucket of a customer holds by this VM's copy,
+// and the part of it that this VM may take.
+func (a *Allowance) Level(customer string, now time.Time) (level, share float64) {
+	b := a.bucket(customer)
+	return b.level, a.share(customer, b, now)
 }
 
 func (a *Allowance) bucket(name string) *bucket {
 	b := a.customers[name]
 	if b == nil {
-		b = &bucket{}
+		b = &bucket{peers: make(map[string]told)}
 		a.customers[name] = b
 	}
 	return b
 }
 
-func (a *Allowance) limits(c *policy.Customer, b *bucket, now time.Time) (rate, capacity float64) {
-	share := a.share(c.Name, b, now)
+// limits returns the refill and the size of the bucket of all VMs that hear
+// each other; each silent one is left an equal part.
+func (a *Allowance) limits(c *policy.Customer) (rate, capacity float64) {
+	heard := float64(1+a.live) / float64(1+a.live+a.silent)
 	slack := a.tolerance.Slack
 	if !c.ByTokens {
 		slack /= max(1, c.PlainCost)
 	}
 	over := 1 + overageUsed*a.tolerance.Overage
-	rate = (c.Rate*over + slackInRate*slack/a.tolerance.Window.Seconds()) * share
-	capacity = (c.Burst*over + slackInBurst*slack) * share
+	rate = (c.Rate*over + slackInRate*slack/a.tolerance.Window.Seconds()) * heard
+	capacity = (c.Burst*over + slackInBurst*slack) * heard
 	return rate, capacity
 }
 
-// share divides the rate by demand among the VMs that hear each other; each
-// silent one is left an equal part.
+// share returns this VM's part of the demand among the VMs that hear each
+// other.
 func (a *Allowance) share(customer string, b *bucket, now time.Time) float64 {
 	b.measure(now)
 	others, live := a.others[customer], float64(1+a.live)
-	members := live + float64(a.silent)
-	heard := live / members
 	floor := floorShare * (b.demand + others) / live
 	total := b.demand + others + floor*live
 	if total <= 0 {
-		return 1 / members
+		return 1 / live
 	}
-	return heard * (b.demand + floor) / total
+	return (b.demand + floor) / total
 }
 
 func (b *bucket) measure(now time.Time) {
@@ -158,14 +201,11 @@
 	b.asked, b.measured = 0, now
 }
 
-// firstFill is the time whose refill a bucket begins with; it is short, so
-// that restarts do not multiply the burst.
-const firstFill = 250 * time.Millisecond
-
 // fill adds what has come since the last call.
 func (b *bucket) fill(rate, capacity float64, now time.Time) {
 	if b.filled.IsZero() {
-		b.level, b.filled = rate*firstFill.Seconds(), now
+		b.level += rate * firstFill.Seconds()
+		b.filled = now
 		return
 	}
 	b.level = min(capacity, b.level+rate*max(0, now.Sub(b.filled).Seconds()))
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -80,11 +80,18 @@
 	busyRetry = 300 * time.Millisecond
 )
 
-// Demand returns the demand for each customer, in the unit of its rate.
-func (f *Forward) Demand() map[string]float64 {
+// Uses returns what this VM tells others of each customer.
+func (f *Forward) Uses() map[string]allowance.Use {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Rates.Demand(f.Clock.Now())
+	return f.Rates.Uses(f.Clock.Now())
+}
+
+// Told takes in what a peer has admitted of a customer.
+func (f *Forward) Told(peer string, incarnation int64, customer string, admitted float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Rates.Told(peer, incarnation, customer, admitted)
 }
 
 // SetOthers sets the demand at the live peers by customer, their number, and
@@ -238,7 +245,8 @@
 	if ok {
 		return nil
 	}
-	j.log(now).Info("request refused, the customer is above its rate", "cost", j.cost, "share", f.Rates.Share(c.Name, now), "after", after)
+	level, share := f.Rates.Level(c.Name, now)
+	j.log(now).Info("request refused, the customer is above its rate", "cost", j.cost, "level", level, "share", share, "after_ms", after.Milliseconds())
 	e := failure.New(failure.RateExceeded, "the customer is above its rate")
 	e.RetryAfter = after
 	return e
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -181,8 +181,8 @@
 	n := l.n
 	d.PolicyVersion, d.TargetsVersion = n.policies.ChangedAt(), n.targets.ChangedAt()
 	d.Loads = n.view.Loads()
-	for name, perSecond := range n.forward.Demand() {
-		d.Customers = append(d.Customers, &meshpb.CustomerDemand{Customer: name, PerSecond: float32(perSecond)})
+	for name, use := range n.forward.Uses() {
+		d.Customers = append(d.Customers, &meshpb.CustomerDemand{Customer: name, PerSecond: float32(use.PerSecond), Admitted: use.Admitted})
 	}
 	d.Fence = n.duty.Fence()
 	now := n.clock.Now()
@@ -214,6 +214,9 @@
 	d := p.Digest
 	n.view.SetPeerLoads(p.Address.String(), d.GetLoads())
 	n.view.PeerSent(d.GetSends())
+	for _, c := range d.GetCustomers() {
+		n.forward.Told(p.Address.String(), p.Incarnation, c.GetCustomer(), c.GetAdmitted())
+	}
 	now := n.clock.Now()
 	for _, entry := range d.GetInventory() {
 		held := make([]target.Held, 0, len(entry.GetHeld()))
