--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -53,9 +53,10 @@
 	lapseHold = 2200 * time.Millisecond
 	// shutdownReserve is left between the last answer and the kill.
 	shutdownReserve = 500 * time.Millisecond
-	// drainShare is the part of the grace time in which connections are
-	// still accepted: callers drop the address within their answer's time.
-	drainShare = 0.5
+	// drainTime is how long connections are still accepted after SIGTERM:
+	// callers drop the address when their directory answer ends. Requests
+	// that come later may not end within the grace time.
+	drainTime = answerTTL + 600*time.Millisecond
 )
 
 // Parts are what a Node stands on. The platform's side implements them.
@@ -282,7 +283,7 @@
 	endDuty()
 	grace := n.bounds.Load().Grace
 	select {
-	case <-n.clock.After(time.Duration(drainShare * float64(grace))):
+	case <-n.clock.After(min(drainTime, grace/2)):
 	case <-ctx.Done():
 	}
 	left, cancel := context.WithTimeout(ctx, grace-shutdownReserve-n.clock.Since(began))
