--- a/internal/serving/allowance/allowance.go
+++ b/internal/serving/allowance/allowance.go
@@ -53,6 +53,7 @@
 // for concurrent use.
 type Allowance struct {
 	tolerance    Tolerance
+	began        time.Time
 	customers    map[string]*bucket
 	others       map[string]float64
 	live, silent int
@@ -78,9 +79,9 @@
 	admitted    float64
 }
 
-// New returns an allowance without demand.
-func New(t Tolerance) *Allowance {
-	return &Allowance{tolerance: t, customers: make(map[string]*bucket)}
+// New returns an allowance without demand. Its buckets fill from now.
+func New(t Tolerance, now time.Time) *Allowance {
+	return &Allowance{tolerance: t, began: now, customers: make(map[string]*bucket)}
 }
 
 // Uses returns what to tell of each customer.
@@ -96,8 +97,12 @@
 // Told takes in what a peer has admitted since its process began.
 func (a *Allowance) Told(peer string, incarnation int64, customer string, admitted float64) {
 	b := a.bucket(customer)
-	last := b.peers[peer]
-	if last.incarnation != incarnation {
+	last, known := b.peers[peer]
+	switch {
+	case !known:
+		// What it admitted before this VM heard of it is in no account here.
+		last = told{incarnation: incarnation, admitted: admitted}
+	case last.incarnation != incarnation:
 		last = told{incarnation: incarnation}
 	}
 	b.level -= max(0, admitted-last.admitted)
@@ -122,6 +127,10 @@
 	b := a.bucket(c.Name)
 	b.asked += cost
 	rate, capacity := a.limits(c)
+	if b.filled.IsZero() {
+		b.level += rate * firstFill.Seconds()
+		b.filled = a.began
+	}
 	b.fill(rate, capacity, now)
 	part := min(1, boost*a.share(c.Name, b, now))
 	// A request above the part of a full bucket needs a full bucket.
@@ -154,7 +163,7 @@
 func (a *Allowance) bucket(name string) *bucket {
 	b := a.customers[name]
 	if b == nil {
-		b = &bucket{peers: make(map[string]told)}
+		b = &bucket{measured: a.began, peers: make(map[string]told)}
 		a.customers[name] = b
 	}
 	return b
@@ -188,10 +197,6 @@
 }
 
 func (b *bucket) measure(now time.Time) {
-	if b.measured.IsZero() {
-		b.measured = now
-		return
-	}
 	d := now.Sub(b.measured)
 	if d < demandTime/10 {
 		return
@@ -203,11 +208,6 @@
 
 // fill adds what has come since the last call.
 func (b *bucket) fill(rate, capacity float64, now time.Time) {
-	if b.filled.IsZero() {
-		b.level += rate * firstFill.Seconds()
-		b.filled = now
-		return
-	}
 	b.level = min(capacity, b.level+rate*max(0, now.Sub(b.filled).Seconds()))
 	b.filled = now
 }
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -96,7 +96,12 @@
 		if c.Target != nil {
 			return c, nil
 		}
-		if j.pool.Engine == nil || len(j.want.Exclude) > 0 && c.Candidates == 0 && c.WithModel > 0 && j.r.Adapter == "" {
+		if len(j.want.Exclude) > 0 && !j.again {
+			// The only target left is one that has failed it before.
+			j.again, j.want.Exclude = true, nil
+			continue
+		}
+		if j.pool.Engine == nil || j.sends > 0 {
 			return c, j.refuse(now, &c, busyRetry)
 		}
 		f.Placer.Asked(j.pool.Name, j.r.Model, j.r.Adapter, j.r.Tokens(), true)
@@ -108,7 +113,7 @@
 				continue
 			}
 		}
-		until := j.r.Arrival.Add(time.Duration(waitShare * float64(j.deadline.Sub(j.r.Arrival))))
+		until := j.waitUntil()
 		if !now.Before(until) {
 			return c, j.refuse(now, &c, loadRetry)
 		}
@@ -121,6 +126,15 @@
 	}
 }
 
+// waitUntil returns when a request without a target is refused.
+func (j *job) waitUntil() time.Time {
+	limit := j.deadline.Sub(j.r.Arrival)
+	if p := j.route.Patience(); p > 0 {
+		limit = min(limit, p)
+	}
+	return j.r.Arrival.Add(time.Duration(waitShare * float64(limit)))
+}
+
 func (j *job) refuse(now time.Time, c *fleetview.Choice, after time.Duration) error {
 	j.log(now).Info("no target for the request", "model", j.r.Model, "adapter", j.r.Adapter,
 		"in_pool", c.InPool, "with_model", c.WithModel, "candidates", c.Candidates, "tried", len(j.want.Exclude))
@@ -155,7 +169,7 @@
 		a.LastEvent = j.stream.resumeAt()
 	}
 	j.log(now).Info("request sent", "target", c.Target.ID, "attempt", j.sends, "expected_ms", c.Expected.Milliseconds(),
-		"cached_tokens", c.Cached, "candidates", c.Candidates, "left_ms", left.Milliseconds())
+		"cached_tokens", c.Cached, "cost", j.cost, "candidates", c.Candidates, "left_ms", left.Milliseconds())
 	ticket := f.View.Begin(&c, &j.want, now)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -69,9 +69,9 @@
 	defaultTimeout = 30 * time.Second
 	// leastTime is the time below which sending a request is of no use.
 	leastTime = 15 * time.Millisecond
-	// waitShare is the part of a request's time in which it may wait for
-	// weights; beyond it an early refusal serves the caller better.
-	waitShare = 0.5
+	// waitShare is the part of a caller's time in which its request may wait
+	// for weights; beyond it an early refusal serves the caller better.
+	waitShare = 0.4
 	// policyRetry is when to come back to a VM that has no configuration yet.
 	policyRetry = 500 * time.Millisecond
 	// loadRetry is when to come back for weights that are being loaded, and
@@ -128,6 +128,8 @@
 
 	sends, runs int
 	brought     bool
+	// again tells that targets which have failed the request are tried again.
+	again bool
 	// answering tells that the head of an answer was written.
 	answering bool
 	stream    *stream
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -149,7 +149,7 @@
 		View:    n.view,
 		Sender:  p.Sender,
 		Placer:  placer{n},
-		Rates:   allowance.New(tolerance(&s.Bounds)),
+		Rates:   allowance.New(tolerance(&s.Bounds), n.clock.Now()),
 		Retries: retrybudget.New(retryBound(&s.Bounds)),
 		VMs:     func() int { return 1 + len(n.mesh.Peers()) },
 		Metrics: forward.NewMetrics(n.registry),
--- a/internal/serving/orderdesk/engine.go
+++ b/internal/serving/orderdesk/engine.go
@@ -16,8 +16,8 @@
 	// reportLag is how old a report may be when it arrives, with a margin.
 	reportLag = 450 * time.Millisecond
 	// leaveNotice is the time from telling all VMs that a model leaves an
-	// engine to the order: two digests and the way of a request.
-	leaveNotice = 700 * time.Millisecond
+	// engine to the order: a digest and the way of a request.
+	leaveNotice = 500 * time.Millisecond
 	// adapterUse is how long an adapter counts as in use after its last
 	// request was seen; it covers the answers of today's models.
 	adapterUse = 2500 * time.Millisecond
@@ -106,14 +106,15 @@
 
 // observe takes in a report that was asked for at a time.
 func (e *engine) observe(r *target.Report, asked, now time.Time) {
+	first := e.report == nil
 	e.report, e.asked = r, asked
 	if now.Sub(e.lastOrder()) > reportLag || r.Orders > e.orders {
 		e.orders = r.Orders
 	}
 	for i := range r.Weights.Models {
 		m := r.Weights.Models[i].Model
-		if _, ok := e.since[m]; !ok {
-			e.since[m] = now
+		if _, ok := e.since[m]; !ok && !first {
+			e.since[m] = now // what the first report lists is older
 		}
 	}
 	for m := range e.since {
--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -41,6 +41,9 @@
 	// settleTime is the time without a new engine after which a term begins to
 	// place models: engines that are not known yet may hold them.
 	settleTime = 1500 * time.Millisecond
+	// storePause is the time without drops after the ledger could not be
+	// written; outages of the store last for seconds.
+	storePause = 2 * time.Second
 	// loadsAtOnce bounds the model loads under way; the weight store serves
 	// two at full speed on the smallest sites.
 	loadsAtOnce = 2
@@ -83,6 +86,9 @@
 	// engines of this term are known.
 	newest  time.Time
 	settled bool
+	// noDrops is until when no model makes way, since the ledger could not
+	// be written.
+	noDrops time.Time
 	engines map[string]*engine
 	ledgers map[string]rowstore.Row
 	permits map[string]*permit.Permit
@@ -348,6 +354,9 @@
 		pm := d.permit(pool)
 		in.ColdLoads, in.Loads = pm.Available(in.Now, 0), max(0, loadsAtOnce-loading)
 		for _, a := range stocking.Next(in) {
+			if a.Drop && in.Now.Before(d.noDrops) {
+				continue // what makes way could not be replaced
+			}
 			d.begins(ctx, term, pool, a, live, pm, wg)
 		}
 	}
@@ -401,6 +410,7 @@
 		ID:       e.target.ID,
 		Leaving:  e.target.Draining,
 		Models:   make(map[string]time.Time),
+		Serving:  make(map[string]bool),
 		FreeMB:   e.freeMB(spec),
 		Idle:     e.ready(now) && e.loading == nil && e.dropping == "" && len(e.leaving) == 0 && e.intended == "",
 		InMemory: set(e.report.Weights.InMemory),
@@ -411,6 +421,7 @@
 		m := e.report.Weights.Models[i].Model
 		if _, leaves := e.leaving[m]; !leaves {
 			s.Models[m] = e.since[m]
+			s.Serving[m] = true
 		}
 	}
 	if e.loading != nil {
@@ -468,6 +479,9 @@
 	if err != nil || !result.Applied {
 		d.Logger.Warn("load not recorded, not ordered", "engine", e.target.ID, "model", model, "applied", result.Applied, "error", err)
 		e.blockedUntil = d.Clock.Now().Add(refusedPause)
+		d.mu.Lock()
+		d.noDrops = d.Clock.Now().Add(storePause)
+		d.mu.Unlock()
 		for _, row := range result.Current {
 			e.ledgerVersion = row.Version // written by an earlier, unanswered call
 		}
--- a/internal/serving/policy/policy.go
+++ b/internal/serving/policy/policy.go
@@ -66,6 +66,23 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// The time for which callers of streams wait for the next event: the longest
+// of a fixed time and of these multiples.
+const (
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// Patience returns how long callers wait for an answer, or for the next event
+// of a stream, before they leave; zero means as long as they state.
+func (r *Route) Patience() time.Duration {
+	if r.Kind != Stream {
+		return 0
+	}
+	return max(leastPatience, objectivePatience*r.Objective, gapPatience*r.MaxGap)
+}
+
 // Share is a pool's part of a route.
 type Share struct {
 	// Pool names the pool.
--- a/internal/serving/stocking/stocking.go
+++ b/internal/serving/stocking/stocking.go
@@ -28,8 +28,9 @@
 	ID      string
 	Leaving bool
 	// Models lists what it holds or is about to hold, with the time since
-	// when.
-	Models map[string]time.Time
+	// when; Serving what it certainly holds and goes on holding.
+	Models  map[string]time.Time
+	Serving map[string]bool
 	// FreeMB is the memory that a new model may take; MB beyond that of the
 	// models counts for adapters and orders that may still take effect.
 	FreeMB float64
@@ -87,6 +88,7 @@
 type plan struct {
 	in       *Input
 	replicas map[string]int
+	serving  map[string]int
 	wanted   map[string]int
 	used     map[string]bool
 	actions  []Action
@@ -95,7 +97,7 @@
 // Next returns what to do now, the most pressing first; at most one action
 // for an engine.
 func Next(in *Input) []Action {
-	p := &plan{in: in, replicas: make(map[string]int), used: make(map[string]bool)}
+	p := &plan{in: in, replicas: make(map[string]int), serving: make(map[string]int), used: make(map[string]bool)}
 	for i := range in.Engines {
 		if in.Engines[i].Leaving {
 			continue
@@ -103,6 +105,9 @@
 		for m := range in.Engines[i].Models {
 			p.replicas[m]++
 		}
+		for m := range in.Engines[i].Serving {
+			p.serving[m]++
+		}
 	}
 	p.wanted = p.targets()
 	loads, cold := in.Loads, in.ColdLoads
@@ -116,7 +121,10 @@
 		}
 		p.actions = append(p.actions, a)
 		p.used[a.Engine] = true
-		if !a.Drop {
+		if a.Drop {
+			p.serving[a.Model]--
+			p.replicas[a.Model]--
+		} else {
 			loads--
 			if a.Cold {
 				cold--
@@ -274,7 +282,8 @@
 	if _, configured := p.in.Spec.Model(victim); !configured {
 		return true
 	}
-	if p.replicas[victim] <= 1 || p.replicas[victim] <= p.wanted[victim] {
+	// Replicas that are only on their way may never come.
+	if p.serving[victim] <= 1 || p.replicas[victim] <= p.wanted[victim] {
 		return false
 	}
 	if p.replicas[model] == 0 {
