--- a/internal/serving/mesh/mesh.go
+++ b/internal/serving/mesh/mesh.go
@@ -41,6 +41,8 @@
 	// Table returns a table of the store as this VM knows it, and the version
 	// of its newest change.
 	Table(t rowstore.Table) (page rowstore.Page, changedAt int64)
+	// Relay calls the store for a peer.
+	Relay(ctx context.Context, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error)
 	// Need finds an engine with an adapter; see meshpb.
 	Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error)
 }
@@ -246,6 +248,12 @@
 	return reply, errors.Wrap(err, "ask for an adapter")
 }
 
+// Relay lets a peer call the store.
+func (m *Mesh) Relay(ctx context.Context, addr netip.AddrPort, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error) {
+	a, err := m.client(ctx, addr).Relay(ctx, c)
+	return a, errors.Wrap(err, "call the store through a peer")
+}
+
 // service answers the calls of peers.
 type service struct{ m *Mesh }
 
@@ -277,3 +285,8 @@
 func (s service) Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
 	return s.m.local.Need(ctx, r)
 }
+
+// Relay implements meshpb.DRPCMeshServer.
+func (s service) Relay(ctx context.Context, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error) {
+	return s.m.local.Relay(ctx, c)
+}
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -10,6 +11,7 @@
 	"fireflypier.example/fireflypier/internal/serving/mesh"
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/storerelay"
 	"fireflypier.example/fireflypier/internal/serving/tablefeed"
 	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
@@ -180,6 +182,7 @@
 func (l local) Digest(d *meshpb.Digest, answers bool) {
 	n := l.n
 	d.PolicyVersion, d.TargetsVersion = n.policies.ChangedAt(), n.targets.ChangedAt()
+	d.StoreFails = !n.targets.Failing().IsZero()
 	d.Loads = n.view.Loads()
 	for name, use := range n.forward.Uses() {
 		d.Customers = append(d.Customers, &meshpb.CustomerDemand{Customer: name, PerSecond: float32(use.PerSecond), Admitted: use.Admitted})
@@ -278,6 +281,24 @@
 	return feed.Page(), feed.ChangedAt()
 }
 
+// Relay implements mesh.Local.
+func (l local) Relay(ctx context.Context, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error) {
+	return storerelay.Serve(ctx, l.n.Store, c)
+}
+
+// relays returns the live peers that reach the store, by their word.
+func (n *Node) relays() []netip.AddrPort {
+	now := n.clock.Now()
+	var found []netip.AddrPort
+	for _, p := range n.mesh.Peers() {
+		if p.Live(now) && !p.Leaving && !p.Digest.GetStoreFails() {
+			found = append(found, p.Address)
+		}
+	}
+	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	return found
+}
+
 // Need implements mesh.Local.
 func (l local) Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
 	return &meshpb.NeedReply{Target: l.n.desk.Bring(ctx, r.GetPool(), r.GetModel(), r.GetAdapter())}, nil
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -32,6 +32,7 @@
 	"fireflypier.example/fireflypier/internal/serving/retrybudget"
 	"fireflypier.example/fireflypier/internal/serving/rowstore"
 	"fireflypier.example/fireflypier/internal/serving/socket"
+	"fireflypier.example/fireflypier/internal/serving/storerelay"
 	"fireflypier.example/fireflypier/internal/serving/tablefeed"
 	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
@@ -86,6 +87,7 @@
 	policies *tablefeed.Feed
 	targets  *tablefeed.Feed
 	mesh     *mesh.Mesh
+	store    *storerelay.Store
 	duty     *duty.Duty
 	desk     *orderdesk.Desk
 	forward  *forward.Forward
@@ -130,10 +132,17 @@
 	if err != nil {
 		return nil, err
 	}
-	n.duty = duty.New(p.Store, s.Peer, n.incarnation, s.Bounds.OrderGap, n.contend, p.Logger)
+	n.store = storerelay.New(storerelay.Parts{
+		Direct:  p.Store,
+		Failing: func() bool { return !n.targets.Failing().IsZero() },
+		Peers:   n.relays,
+		Relay:   n.mesh.Relay,
+		Logger:  p.Logger,
+	})
+	n.duty = duty.New(n.store, s.Peer, n.incarnation, s.Bounds.OrderGap, n.contend, p.Logger)
 	n.desk = orderdesk.New(orderdesk.Parts{
 		Name:     s.Peer.Addr().String(),
-		Store:    p.Store,
+		Store:    n.store,
 		Duty:     n.duty,
 		Engines:  p.Engines,
 		Policy:   n.policy.Load,
@@ -353,10 +362,10 @@
 	if err != nil {
 		return err
 	}
-	if _, err := n.Store.Write(ctx, rowstore.Write{Table: rowstore.Members, Key: s.Peer.String(), Expect: rowstore.AnyVersion, Value: value}); err != nil {
+	if _, err := n.store.Write(ctx, rowstore.Write{Table: rowstore.Members, Key: s.Peer.String(), Expect: rowstore.AnyVersion, Value: value}); err != nil {
 		return errors.Wrap(err, "write member row")
 	}
-	page, err := n.Store.List(ctx, rowstore.Members)
+	page, err := n.store.List(ctx, rowstore.Members)
 	if err != nil {
 		return errors.Wrap(err, "list members")
 	}
--- /dev/null
+++ b/internal/serving/storerelay/storerelay.go
@@ -0,0 +1,176 @@
+// Package storerelay calls the platform's store, and does so through a peer
+// while the store turns this VM away.
+package storerelay
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+)
+
+// relayTimeout bounds a call through one peer; the store answers within a few
+// milliseconds.
+const relayTimeout = 500 * time.Millisecond
+
+// relayPeers bounds the peers that one call is tried through.
+const relayPeers = 2
+
+// Parts are what a Store stands on.
+type Parts struct {
+	// Direct is the store as this VM reaches it.
+	Direct rowstore.Store
+	// Failing reports whether the store turns this VM away now.
+	Failing func() bool
+	// Peers returns the live peers, those first that are likely to reach the
+	// store; Relay calls the store through one.
+	Peers  func() []netip.AddrPort
+	Relay  func(ctx context.Context, peer netip.AddrPort, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error)
+	Logger hclog.Logger
+}
+
+// Store is a rowstore.Store. Its methods may be called at the same time.
+type Store struct{ Parts }
+
+// New returns a store.
+func New(p Parts) *Store { return &Store{p} }
+
+// Follow implements rowstore.Store; it is never relayed, since peers tell of
+// changes by themselves.
+func (s *Store) Follow(ctx context.Context, t rowstore.Table, after int64, wait time.Duration) (rowstore.Page, error) {
+	return s.Direct.Follow(ctx, t, after, wait)
+}
+
+// List implements rowstore.Store.
+func (s *Store) List(ctx context.Context, t rowstore.Table) (rowstore.Page, error) {
+	err := error(rowstore.ErrRefused)
+	if !s.Failing() {
+		var page rowstore.Page
+		if page, err = s.Direct.List(ctx, t); err == nil {
+			return page, nil
+		}
+	}
+	a, ok := s.relay(ctx, &meshpb.StoreCall{Table: int32(t)})
+	if !ok || a.GetFailure() != meshpb.StoreFailure_STORE_FAILURE_UNSPECIFIED {
+		if s.Failing() {
+			return s.Direct.List(ctx, t)
+		}
+		return rowstore.Page{}, err
+	}
+	return rowstore.Page{Version: a.GetVersion(), Time: time.Duration(a.GetTimeNs()), Rows: rows(a)}, nil
+}
+
+// Write implements rowstore.Store. A write that may have been carried out is
+// not repeated.
+func (s *Store) Write(ctx context.Context, writes ...rowstore.Write) (rowstore.Result, error) {
+	if !s.Failing() {
+		result, err := s.Direct.Write(ctx, writes...)
+		if !errors.Is(err, rowstore.ErrRefused) {
+			return result, err
+		}
+	}
+	call := &meshpb.StoreCall{}
+	for _, w := range writes {
+		call.Writes = append(call.Writes, &meshpb.StoreWrite{
+			Table: int32(w.Table), Key: w.Key, Expect: w.Expect, Value: w.Value, Delete: w.Delete,
+		})
+	}
+	a, ok := s.relay(ctx, call)
+	if !ok {
+		return s.Direct.Write(ctx, writes...)
+	}
+	switch a.GetFailure() {
+	case meshpb.StoreFailure_STORE_FAILURE_REFUSED:
+		return rowstore.Result{}, rowstore.ErrRefused
+	case meshpb.StoreFailure_STORE_FAILURE_UNANSWERED:
+		return rowstore.Result{}, rowstore.ErrUnanswered
+	case meshpb.StoreFailure_STORE_FAILURE_UNSPECIFIED:
+	}
+	return rowstore.Result{
+		Applied: a.GetApplied(),
+		Version: a.GetVersion(),
+		Current: rows(a),
+		Time:    time.Duration(a.GetTimeNs()),
+	}, nil
+}
+
+// relay tries a call through peers; ok is false when it reached none. A peer
+// that does not answer may have carried it out, which counts as an answer.
+func (s *Store) relay(ctx context.Context, c *meshpb.StoreCall) (a *meshpb.StoreAnswer, ok bool) {
+	peers := s.Peers()
+	for _, addr := range peers[:min(relayPeers, len(peers))] {
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		a, err := s.Relay(callCtx, addr, c)
+		cancel()
+		if err != nil {
+			s.Logger.Info("store call not relayed", "peer", addr, "writes", len(c.GetWrites()), "error", err)
+			if len(c.GetWrites()) > 0 {
+				return &meshpb.StoreAnswer{Failure: meshpb.StoreFailure_STORE_FAILURE_UNANSWERED}, true
+			}
+			continue
+		}
+		if a.GetFailure() != meshpb.StoreFailure_STORE_FAILURE_REFUSED {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
+func rows(a *meshpb.StoreAnswer) []rowstore.Row {
+	out := make([]rowstore.Row, 0, len(a.GetRows()))
+	for _, r := range a.GetRows() {
+		out = append(out, rowstore.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion()})
+	}
+	return out
+}
+
+// Serve carries out a peer's call at the store as this VM reaches it.
+func Serve(ctx context.Context, direct rowstore.Store, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error) {
+	if len(c.GetWrites()) == 0 {
+		return serveList(ctx, direct, rowstore.Table(c.GetTable()))
+	}
+	writes := make([]rowstore.Write, 0, len(c.GetWrites()))
+	for _, w := range c.GetWrites() {
+		writes = append(writes, rowstore.Write{
+			Table: rowstore.Table(w.GetTable()), Key: w.GetKey(), Expect: w.GetExpect(), Value: w.GetValue(), Delete: w.GetDelete(),
+		})
+	}
+	result, err := direct.Write(ctx, writes...)
+	if err != nil {
+		return failed(err), nil
+	}
+	return &meshpb.StoreAnswer{
+		Applied: result.Applied,
+		Version: result.Version,
+		TimeNs:  result.Time.Nanoseconds(),
+		Rows:    wireRows(result.Current),
+	}, nil
+}
+
+func serveList(ctx context.Context, direct rowstore.Store, t rowstore.Table) (*meshpb.StoreAnswer, error) {
+	page, err := direct.List(ctx, t)
+	if err != nil {
+		return failed(err), nil
+	}
+	return &meshpb.StoreAnswer{Version: page.Version, TimeNs: page.Time.Nanoseconds(), Rows: wireRows(page.Rows)}, nil
+}
+
+func failed(err error) *meshpb.StoreAnswer {
+	if errors.Is(err, rowstore.ErrRefused) {
+		return &meshpb.StoreAnswer{Failure: meshpb.StoreFailure_STORE_FAILURE_REFUSED}
+	}
+	return &meshpb.StoreAnswer{Failure: meshpb.StoreFailure_STORE_FAILURE_UNANSWERED}
+}
+
+func wireRows(list []rowstore.Row) []*meshpb.Row {
+	out := make([]*meshpb.Row, 0, len(list))
+	for _, r := range list {
+		out = append(out, &meshpb.Row{Key: r.Key, Value: r.Value, Version: r.Version})
+	}
+	return out
+}
