Tell peers only what they have not seen; two readers of the store a zone

Members go by hash, inventory and sends after what the peer has, the interval grows with the fleet, and two VMs of a data centre read the store for the others.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -89,6 +89,7 @@
 	mu      sync.Mutex
 	targets map[string]*state
 	sends   []*meshpb.Send
+	sent    int64
 	changed chan struct{}
 }
 
@@ -172,6 +173,18 @@
 	v.notify()
 }
 
+// KeepInventory tells that the duty holder still lives, so that its last word
+// on what engines hold goes on.
+func (v *View) KeepInventory(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.targets {
+		if !s.inventoryAt.IsZero() {
+			s.inventoryAt = now
+		}
+	}
+}
+
 // SetPeerLoads replaces a peer's work at all targets.
 func (v *View) SetPeerLoads(peer string, loads []*meshpb.Load) {
 	v.mu.Lock()
@@ -236,13 +249,25 @@
 	return s.total().requests
 }
 
-// TakeSends returns the prompts sent since the last call.
-func (v *View) TakeSends() []*meshpb.Send {
+// keptSends bounds the sends that are kept for peers; a busy VM of today's
+// sites sends some 20 prompts a second.
+const keptSends = 128
+
+// SendsAfter returns the prompts sent after a number, and the number of the
+// last one.
+func (v *View) SendsAfter(seen int64) (sends []*meshpb.Send, upto int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	sends := v.sends
-	v.sends = nil
-	return sends
+	missing := min(max(0, v.sent-seen), int64(len(v.sends)))
+	return v.sends[int64(len(v.sends))-missing:], v.sent
+}
+
+func (v *View) keepSend(send *meshpb.Send) {
+	v.sent++
+	if len(v.sends) >= 2*keptSends {
+		v.sends = append([]*meshpb.Send(nil), v.sends[len(v.sends)-keptSends:]...)
+	}
+	v.sends = append(v.sends, send)
 }
 
 // Choose returns the target with the least expected time for a request.
--- a/internal/serving/fleetview/ticket.go
+++ b/internal/serving/fleetview/ticket.go
@@ -41,7 +41,7 @@
 		for i, n := range w.ChainTokens {
 			send.Tokens[i] = uint32(max(0, n))
 		}
-		v.sends = append(v.sends, send)
+		v.keepSend(send)
 	}
 	return t
 }
--- a/internal/serving/mesh/membership.go
+++ b/internal/serving/mesh/membership.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"hash/fnv"
 	"net/netip"
 	"sort"
 	"time"
@@ -9,9 +10,10 @@
 )
 
 const (
-	// liveFor is how long a member counts as live after its last word: four
-	// exchanges, so that three lost ones in a row remove nobody.
-	liveFor = 4 * exchangeInterval
+	// liveExchanges is the number of intervals for which a member counts as
+	// live after its last word, so that three lost exchanges in a row remove
+	// nobody.
+	liveExchanges = 4
 	// forgetAfter is how long a silent member still counts in the divisions
 	// of rates and retry budgets; a restart takes a few seconds.
 	forgetAfter = 30 * time.Second
@@ -35,13 +37,15 @@
 	// Digest is its last word; nil if it never spoke.
 	Digest *meshpb.Digest
 
-	added  time.Time
-	dialed time.Time
+	liveFor time.Duration
+	added   time.Time
+	dialed  time.Time
+	listed  time.Time
 }
 
 // Live reports whether the peer has spoken lately.
 func (p *Peer) Live(now time.Time) bool {
-	return !p.Heard.IsZero() && now.Sub(p.Heard) < liveFor
+	return !p.Heard.IsZero() && now.Sub(p.Heard) < p.liveFor
 }
 
 // membership is the set of known peers. It has no input or output and is not
@@ -51,6 +55,13 @@
 	peers map[netip.AddrPort]*Peer
 }
 
+// interval returns the time between two digests to one peer. It grows with
+// the fleet, so that the messages of one VM grow less than the fleet.
+func (m *membership) interval() time.Duration {
+	steps := min(maxStretch, max(1, float64(len(m.peers)+1)/stretchFrom))
+	return time.Duration(steps * float64(exchangeInterval))
+}
+
 func newMembership(self netip.AddrPort) *membership {
 	return &membership{self: self, peers: make(map[netip.AddrPort]*Peer)}
 }
@@ -61,9 +72,13 @@
 	if err != nil || addr == m.self {
 		return nil
 	}
+	silent := time.Duration(w.GetSilentMs()) * time.Millisecond
 	p := m.peers[addr]
 	if p == nil {
-		p = &Peer{Address: addr, added: now}
+		if silent > forgetAfter {
+			return nil
+		}
+		p = &Peer{Address: addr, added: now.Add(-silent)}
 		m.peers[addr] = p
 	}
 	if w.GetIncarnation() > p.Incarnation {
@@ -75,13 +90,11 @@
 // hear takes in a peer's own digest. It reports whether the peer is new, has
 // started again or was silent before.
 func (m *membership) hear(d *meshpb.Digest, now time.Time) (p *Peer, returned bool) {
-	for _, w := range d.GetKnown() {
-		m.add(w, now)
-	}
 	p = m.add(d.GetSelf(), now)
 	if p == nil || d.GetSelf().GetIncarnation() < p.Incarnation {
 		return nil, false
 	}
+	p.liveFor = liveExchanges * m.interval()
 	returned = !p.Live(now)
 	p.set(d.GetSelf())
 	p.Heard, p.Digest = now, d
@@ -116,6 +129,37 @@
 	return p.added
 }
 
+// hash stands for the addresses of all members.
+func (m *membership) hash() uint64 {
+	sum := addressHash(m.self)
+	for addr := range m.peers {
+		sum += addressHash(addr)
+	}
+	return sum
+}
+
+func addressHash(addr netip.AddrPort) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(addr.String())) // a hash takes every write
+	return h.Sum64()
+}
+
+// list returns all members as this VM knows them, but itself.
+func (m *membership) list(now time.Time) []*meshpb.Member {
+	var list []*meshpb.Member
+	for addr, p := range m.peers {
+		list = append(list, &meshpb.Member{
+			Peer:        addr.String(),
+			Incarnation: p.Incarnation,
+			Name:        p.Name,
+			DataCentre:  p.DataCentre,
+			Front:       p.Front.String(),
+			SilentMs:    now.Sub(p.lastSign()).Milliseconds(),
+		})
+	}
+	return list
+}
+
 // sorted returns copies of all peers, by address.
 func (m *membership) sorted() []Peer {
 	peers := make([]Peer, 0, len(m.peers))
--- a/internal/serving/mesh/mesh.go
+++ b/internal/serving/mesh/mesh.go
@@ -20,9 +20,15 @@
 )
 
 const (
-	// exchangeInterval is the time between two digests to one peer; it is a
-	// small part of the seconds in which changes must be known everywhere.
+	// exchangeInterval is the time between two digests to one peer on a small
+	// site; it is a small part of the seconds in which changes must be known
+	// everywhere. It is stretched in proportion from stretchFrom VMs on, at
+	// most maxStretch times.
 	exchangeInterval = 300 * time.Millisecond
+	stretchFrom      = 16.0
+	maxStretch       = 5.0
+	// listInterval is the least time between two lists of members to a peer.
+	listInterval = 2 * time.Second
 	// exchangeTimeout bounds one exchange, a connection included.
 	exchangeTimeout = 700 * time.Millisecond
 	// silentInterval is the time between two tries to reach a silent peer.
@@ -33,9 +39,10 @@
 
 // Local is this VM's side of the exchange.
 type Local interface {
-	// Digest fills in what this VM tells; Self and Known are set already. A
-	// digest that answers another one carries no sends.
-	Digest(d *meshpb.Digest, answers bool)
+	// Digest returns what this VM tells anybody.
+	Digest() *meshpb.Digest
+	// Address fills in what is only for one peer; d is its own copy.
+	Address(d *meshpb.Digest, p *Peer)
 	// Heard takes in a peer's digest. Call no method of the mesh in it.
 	Heard(p *Peer)
 	// Table returns a table of the store as this VM knows it, and the version
@@ -55,6 +62,7 @@
 	server *peer.Server
 	local  Local
 	done   chan struct{}
+	urge   chan struct{}
 
 	mu      sync.Mutex
 	self    *meshpb.Member
@@ -79,6 +87,7 @@
 		server:  server,
 		local:   local,
 		done:    make(chan struct{}),
+		urge:    make(chan struct{}, 1),
 		self:    self,
 		members: newMembership(addr),
 		busy:    make(map[netip.AddrPort]bool),
@@ -98,12 +107,14 @@
 			m.logger.Error("peers are no longer served", "error", err)
 		}
 	})
-	ticker := m.clock.NewTicker(exchangeInterval)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
 		m.Spread(ctx, &wg)
+		m.mu.Lock()
+		interval := m.members.interval()
+		m.mu.Unlock()
 		select {
-		case <-ticker.Chan():
+		case <-m.clock.After(interval):
+		case <-m.urge:
 		case <-ctx.Done():
 		}
 	}
@@ -111,6 +122,14 @@
 	return m.dialer.Close()
 }
 
+// Urge makes the next exchange begin now.
+func (m *Mesh) Urge() {
+	select {
+	case m.urge <- struct{}{}:
+	default:
+	}
+}
+
 // Done is closed when Run has returned.
 func (m *Mesh) Done() <-chan struct{} { return m.done }
 
@@ -121,39 +140,74 @@
 	for _, addr := range m.members.forget(now) {
 		m.logger.Info("member forgotten", "peer", addr, "silent_for", forgetAfter)
 	}
-	var due []netip.AddrPort
+	var due []Peer
 	for addr, p := range m.members.peers {
 		if m.busy[addr] || (!p.Live(now) && now.Sub(p.dialed) < silentInterval) {
 			continue
 		}
 		p.dialed = now
 		m.busy[addr] = true
-		due = append(due, addr)
+		due = append(due, *p)
 	}
 	m.mu.Unlock()
 	if len(due) == 0 {
 		return
 	}
-	digest := m.digest(false)
-	for _, addr := range due {
-		wg.Go(func() { m.exchange(ctx, addr, digest) })
+	base := m.digest()
+	for i := range due {
+		p := &due[i]
+		wg.Go(func() { m.exchange(ctx, p, m.addressed(base, p)) })
 	}
 }
 
-func (m *Mesh) exchange(ctx context.Context, addr netip.AddrPort, digest *meshpb.Digest) {
+func (m *Mesh) exchange(ctx context.Context, p *Peer, digest *meshpb.Digest) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := m.client(ctx, addr).Exchange(ctx, digest)
+	client := m.client(ctx, p.Address)
+	answer, err := client.Exchange(ctx, digest)
+	if err == nil && answer.GetMembersHash() != digest.GetMembersHash() {
+		m.compare(ctx, client, p)
+	}
 	m.mu.Lock()
-	delete(m.busy, addr)
+	delete(m.busy, p.Address)
 	m.mu.Unlock()
 	if err != nil {
-		m.logger.Debug("peer not reached", "peer", addr, "error", err)
+		m.logger.Debug("peer not reached", "peer", p.Address, "error", err)
 		return
 	}
 	m.hear(answer)
 }
 
+// compare exchanges lists of members with a peer that knows others.
+func (m *Mesh) compare(ctx context.Context, client meshpb.DRPCMeshClient, p *Peer) {
+	now := m.clock.Now()
+	m.mu.Lock()
+	known := m.members.peers[p.Address]
+	due := known != nil && now.Sub(known.listed) > listInterval
+	if due {
+		known.listed = now
+	}
+	list := &meshpb.MemberList{Members: append(m.members.list(now), m.copySelf())}
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	answer, err := client.Members(ctx, list)
+	if err != nil {
+		m.logger.Debug("members not compared", "peer", p.Address, "error", err)
+		return
+	}
+	m.learn(answer)
+}
+
+func (m *Mesh) learn(list *meshpb.MemberList) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range list.GetMembers() {
+		m.members.add(w, m.clock.Now())
+	}
+}
+
 func (m *Mesh) client(ctx context.Context, addr netip.AddrPort) meshpb.DRPCMeshClient {
 	return meshpb.NewDRPCMeshClient(m.dialer.Conn(ctx, addr))
 }
@@ -176,20 +230,29 @@
 	m.local.Heard(&known)
 }
 
-func (m *Mesh) digest(answers bool) *meshpb.Digest {
+// digest returns what this VM tells anybody.
+func (m *Mesh) digest() *meshpb.Digest {
+	d := m.local.Digest()
 	m.mu.Lock()
-	d := &meshpb.Digest{Self: m.copySelf()}
-	for addr, p := range m.members.peers {
-		d.Known = append(d.Known, &meshpb.Member{
-			Peer:        addr.String(),
-			Incarnation: p.Incarnation,
-			Name:        p.Name,
-			DataCentre:  p.DataCentre,
-			Front:       p.Front.String(),
-		})
+	defer m.mu.Unlock()
+	d.Self, d.MembersHash = m.copySelf(), m.members.hash()
+	return d
+}
+
+// addressed returns a copy of a digest for one peer.
+func (m *Mesh) addressed(base *meshpb.Digest, p *Peer) *meshpb.Digest {
+	d := &meshpb.Digest{
+		Self:           base.GetSelf(),
+		MembersHash:    base.GetMembersHash(),
+		PolicyVersion:  base.GetPolicyVersion(),
+		TargetsVersion: base.GetTargetsVersion(),
+		Loads:          base.GetLoads(),
+		Customers:      base.GetCustomers(),
+		Weights:        base.GetWeights(),
+		Fence:          base.GetFence(),
+		StoreFails:     base.GetStoreFails(),
 	}
-	m.mu.Unlock()
-	m.local.Digest(d, answers)
+	m.local.Address(d, p)
 	return d
 }
 
@@ -219,6 +282,22 @@
 	m.members.add(w, m.clock.Now())
 }
 
+// peer returns a copy of what is known of a peer.
+func (m *Mesh) peer(address string) (*Peer, bool) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.members.peers[addr]
+	if !ok {
+		return nil, false
+	}
+	known := *p
+	return &known, true
+}
+
 // Peers returns the known peers, by address.
 func (m *Mesh) Peers() []Peer {
 	m.mu.Lock()
@@ -260,7 +339,20 @@
 // Exchange implements meshpb.DRPCMeshServer.
 func (s service) Exchange(_ context.Context, d *meshpb.Digest) (*meshpb.Digest, error) {
 	s.m.hear(d)
-	return s.m.digest(true), nil
+	answer := s.m.digest()
+	p, ok := s.m.peer(d.GetSelf().GetPeer())
+	if !ok {
+		return answer, nil
+	}
+	return s.m.addressed(answer, p), nil
+}
+
+// Members implements meshpb.DRPCMeshServer.
+func (s service) Members(_ context.Context, list *meshpb.MemberList) (*meshpb.MemberList, error) {
+	s.m.learn(list)
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	return &meshpb.MemberList{Members: append(s.m.members.list(s.m.clock.Now()), s.m.copySelf())}, nil
 }
 
 // Fetch implements meshpb.DRPCMeshServer.
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"fireflypier.example/fireflypier/internal/serving/mesh"
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
@@ -25,7 +26,10 @@
 	unknownPeers = 12
 	// fetchDelay is the time that this VM's own reading of the store is given
 	// before it takes a change from a peer.
-	fetchDelay = 120 * time.Millisecond
+	// farFetchDelay is that for a peer in another data centre, where bytes
+	// cost.
+	fetchDelay    = 120 * time.Millisecond
+	farFetchDelay = 450 * time.Millisecond
 )
 
 // policyChanged puts a new configuration in force; the last good one stays if
@@ -46,6 +50,7 @@
 		n.policy.Store(p)
 		n.Logger.Info("configuration in force", "version", p.Version, "row_version", r.Version,
 			"routes", len(p.Routes), "pools", len(p.Pools), "customers", len(p.Customers))
+		n.spread()
 	}
 	n.announce()
 }
@@ -55,6 +60,7 @@
 		if r.Deleted {
 			n.view.Remove(r.Key)
 			n.Logger.Info("target gone", "target", r.Key)
+			n.spread()
 			continue
 		}
 		t, err := n.DecodeTarget(r.Key, r.Value)
@@ -64,12 +70,23 @@
 			continue
 		}
 		fresh := n.view.Set(t)
+		if t.Draining {
+			n.spread()
+		}
 		n.Logger.Info("target", "target", r.Key, "pool", t.Pool, "address", t.Address, "draining", t.Draining,
 			"born", t.Born, "new", fresh, "row_version", r.Version, "models", len(t.Weights.Models))
 	}
 	n.announce()
 }
 
+// spread tells the other VMs at once of a change that has a deadline, if this
+// VM is one that reads the store for them.
+func (n *Node) spread() {
+	if n.mesh != nil && n.reads() {
+		n.mesh.Urge()
+	}
+}
+
 func (n *Node) announce() {
 	if n.mesh != nil {
 		n.mesh.Announce(n.ready(), n.leaving.Load())
@@ -112,6 +129,10 @@
 	}
 }
 
+// dutyCandidates bounds the VMs that look for a free order duty, so that
+// the calls do not grow with the fleet.
+const dutyCandidates = 4
+
 // contend reports whether this VM should try to take the order duty: no live
 // peer holds it.
 func (n *Node) contend() (ok bool, rank int) {
@@ -127,7 +148,7 @@
 			rank++
 		}
 	}
-	return true, rank
+	return rank < dutyCandidates, rank
 }
 
 // holder returns the live peer that holds the order duty.
@@ -164,30 +185,37 @@
 }
 
 // setHeld notes what an engine holds, for this VM and for the next digests.
-func (n *Node) setHeld(id string, born int64, held []target.Held) {
-	n.view.SetInventory(id, born, held, n.clock.Now())
+func (n *Node) setHeld(id string, born int64, models []target.Held) {
+	n.view.SetInventory(id, born, models, n.clock.Now())
 	entry := &meshpb.Inventory{Target: id, Born: born}
-	for _, h := range held {
+	for _, h := range models {
 		entry.Held = append(entry.Held, &meshpb.Held{Model: h.Model, Adapters: h.Adapters})
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.inventory[id] = entry
+	if old, ok := n.inventory[id]; ok && proto.Equal(old.wire, entry) {
+		return
+	}
+	n.inventoryVersion++
+	n.inventory[id] = held{wire: entry, version: n.inventoryVersion}
 }
 
 // local is the node's side of the exchange between VMs.
 type local struct{ n *Node }
 
 // Digest implements mesh.Local.
-func (l local) Digest(d *meshpb.Digest, answers bool) {
+func (l local) Digest() *meshpb.Digest {
 	n := l.n
-	d.PolicyVersion, d.TargetsVersion = n.policies.ChangedAt(), n.targets.ChangedAt()
-	d.StoreFails = !n.targets.Failing().IsZero()
-	d.Loads = n.view.Loads()
+	d := &meshpb.Digest{
+		PolicyVersion:  n.policies.ChangedAt(),
+		TargetsVersion: n.targets.ChangedAt(),
+		StoreFails:     !n.targets.Failing().IsZero(),
+		Loads:          n.view.Loads(),
+		Fence:          n.duty.Fence(),
+	}
 	for name, use := range n.forward.Uses() {
 		d.Customers = append(d.Customers, &meshpb.CustomerDemand{Customer: name, PerSecond: float32(use.PerSecond), Admitted: use.Admitted})
 	}
-	d.Fence = n.duty.Fence()
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -197,20 +225,49 @@
 			TokensPerSecond: float32(level.TokensPerSecond), Waiting: uint32(level.Waiting),
 		})
 	}
-	if d.Fence != 0 {
+	return d
+}
+
+// Address implements mesh.Local: it adds what the peer has not seen yet.
+func (l local) Address(d *meshpb.Digest, p *mesh.Peer) {
+	n := l.n
+	var sendsSeen, inventorySeen int64
+	if p.Digest != nil {
+		sendsSeen, inventorySeen = p.Digest.GetSendsSeen(), p.Digest.GetInventorySeen()
+	}
+	d.Sends, d.SendsUpto = n.view.SendsAfter(sendsSeen)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if d.GetFence() != 0 {
+		d.InventoryUpto = n.inventoryVersion
 		for id, entry := range n.inventory {
 			if _, ok := n.view.Target(id); !ok {
 				delete(n.inventory, id)
-				continue
+			} else if entry.version > inventorySeen {
+				d.Inventory = append(d.Inventory, entry.wire)
 			}
-			d.Inventory = append(d.Inventory, entry)
 		}
 	}
-	if !answers {
-		d.Sends = n.view.TakeSends()
+	if s := n.seen[p.Address]; s.incarnation == p.Incarnation {
+		d.SendsSeen = s.sends
+		if s.fence == p.Digest.GetFence() {
+			d.InventorySeen = s.inventory
+		}
 	}
 }
 
+// seen is what this VM has of a peer.
+type seen struct {
+	incarnation, fence int64
+	sends, inventory   int64
+}
+
+// held is what an engine holds, by this VM's own orders and reports.
+type held struct {
+	wire    *meshpb.Inventory
+	version int64
+}
+
 // Heard implements mesh.Local.
 func (l local) Heard(p *mesh.Peer) {
 	n := l.n
@@ -221,23 +278,63 @@
 		n.forward.Told(p.Address.String(), p.Incarnation, c.GetCustomer(), c.GetAdmitted())
 	}
 	now := n.clock.Now()
+	n.mu.Lock()
+	s := n.seen[p.Address]
+	if s.incarnation != p.Incarnation {
+		s = seen{incarnation: p.Incarnation}
+	}
+	if s.fence != d.GetFence() {
+		s.fence, s.inventory = d.GetFence(), 0
+	}
+	s.sends, s.inventory = max(s.sends, d.GetSendsUpto()), max(s.inventory, d.GetInventoryUpto())
+	n.seen[p.Address] = s
+	n.mu.Unlock()
+	if d.GetFence() != 0 {
+		n.view.KeepInventory(now)
+	}
 	for _, entry := range d.GetInventory() {
-		held := make([]target.Held, 0, len(entry.GetHeld()))
-		for _, h := range entry.GetHeld() {
-			held = append(held, target.Held{Model: h.GetModel(), Adapters: h.GetAdapters()})
+		n.view.SetInventory(entry.GetTarget(), entry.GetBorn(), heldModels(entry), now)
+	}
+	n.catchUp(p, n.policies, rowstore.Policies, d.GetPolicyVersion())
+	n.catchUp(p, n.targets, rowstore.Targets, d.GetTargetsVersion())
+}
+
+func heldModels(entry *meshpb.Inventory) []target.Held {
+	models := make([]target.Held, 0, len(entry.GetHeld()))
+	for _, h := range entry.GetHeld() {
+		models = append(models, target.Held{Model: h.GetModel(), Adapters: h.GetAdapters()})
+	}
+	return models
+}
+
+// readersPerDataCentre is the number of VMs of a data centre that follow the
+// store; the others hear of changes from them.
+const readersPerDataCentre = 2
+
+// reads reports whether this VM follows the store: it is among the first of
+// its data centre that reach it.
+func (n *Node) reads() bool {
+	now := n.clock.Now()
+	before := 0
+	for _, p := range n.mesh.Peers() {
+		if p.DataCentre == n.Settings.DataCentre && p.Live(now) && p.Ready && !p.Leaving && !p.Digest.GetStoreFails() &&
+			p.Address.Compare(n.Settings.Peer) < 0 {
+			before++
 		}
-		n.view.SetInventory(entry.GetTarget(), entry.GetBorn(), held, now)
 	}
-	n.catchUp(p.Address, n.policies, rowstore.Policies, d.GetPolicyVersion())
-	n.catchUp(p.Address, n.targets, rowstore.Targets, d.GetTargetsVersion())
+	return before < readersPerDataCentre
 }
 
 // catchUp takes a table from a peer that knows of a newer change, unless the
 // store tells of it first.
-func (n *Node) catchUp(addr netip.AddrPort, feed *tablefeed.Feed, t rowstore.Table, version int64) {
+func (n *Node) catchUp(p *mesh.Peer, feed *tablefeed.Feed, t rowstore.Table, version int64) {
 	if version <= feed.ChangedAt() {
 		return
 	}
+	delay := fetchDelay
+	if p.DataCentre != n.Settings.DataCentre {
+		delay = farFetchDelay
+	}
 	n.mu.Lock()
 	ctx, busy := n.ctx, n.fetching[t]
 	if ctx != nil {
@@ -254,7 +351,7 @@
 			n.mu.Unlock()
 		}()
 		select {
-		case <-n.clock.After(fetchDelay):
+		case <-n.clock.After(delay):
 		case <-ctx.Done():
 			return
 		}
@@ -262,12 +359,12 @@
 		if version <= above {
 			return
 		}
-		page, ok, err := n.mesh.Fetch(ctx, addr, t, above)
+		page, ok, err := n.mesh.Fetch(ctx, p.Address, t, above)
 		if err != nil || !ok {
-			n.Logger.Debug("table not taken from peer", "peer", addr, "table", t, "error", err)
+			n.Logger.Debug("table not taken from peer", "peer", p.Address, "table", t, "error", err)
 			return
 		}
-		n.Logger.Info("table taken from peer", "peer", addr, "table", t, "rows", len(page.Rows), "from_version", above, "to_version", version)
+		n.Logger.Info("table taken from peer", "peer", p.Address, "table", t, "rows", len(page.Rows), "from_version", above, "to_version", version)
 		feed.Merge(page)
 	})
 }
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -99,10 +99,13 @@
 
 	mu        sync.Mutex
 	demand    *weightsdemand.Meter
-	inventory map[string]*meshpb.Inventory
-	fetching  map[rowstore.Table]bool
-	ctx       context.Context //nolint:containedctx // for fetches that a peer's word begins
-	wg        conc.WaitGroup
+	inventory map[string]held
+	// inventoryVersion counts the changes of inventory.
+	inventoryVersion int64
+	seen             map[netip.AddrPort]seen
+	fetching         map[rowstore.Table]bool
+	ctx              context.Context //nolint:containedctx // for fetches that a peer's word begins
+	wg               conc.WaitGroup
 }
 
 // New returns a node that listens once Run is called.
@@ -114,13 +117,14 @@
 		registry:    prometheus.NewRegistry(),
 		view:        fleetview.New(p.Settings.DataCentre),
 		demand:      weightsdemand.New(),
-		inventory:   make(map[string]*meshpb.Inventory),
+		inventory:   make(map[string]held),
+		seen:        make(map[netip.AddrPort]seen),
 		fetching:    make(map[rowstore.Table]bool),
 	}
 	s := p.Settings
 	n.bounds.Store(&s.Bounds)
-	n.policies = tablefeed.New(p.Store, rowstore.Policies, "policies", p.Logger, n.policyChanged)
-	n.targets = tablefeed.New(p.Store, rowstore.Targets, "targets", p.Logger, n.targetsChanged, tablefeed.WithHold(lapseHold))
+	n.policies = tablefeed.New(p.Store, rowstore.Policies, "policies", p.Logger, n.policyChanged, tablefeed.WithReader(n.reads))
+	n.targets = tablefeed.New(p.Store, rowstore.Targets, "targets", p.Logger, n.targetsChanged, tablefeed.WithHold(lapseHold), tablefeed.WithReader(n.reads))
 	var err error
 	n.mesh, err = mesh.New(&meshpb.Member{
 		Peer:        s.Peer.String(),
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -26,6 +26,8 @@
 	// heldWait bounds a long poll while rows are held, so that they are
 	// dropped in time.
 	heldWait = 300 * time.Millisecond
+	// idleWait is the time between two looks whether to follow the store.
+	idleWait = 300 * time.Millisecond
 	// retryGap is the time between two tries while the store fails; it keeps
 	// the calls of all VMs far below the store's rate.
 	retryGap = 400 * time.Millisecond
@@ -41,7 +43,8 @@
 	changed func(rows []rowstore.Row)
 	done    chan struct{}
 
-	hold time.Duration
+	hold  time.Duration
+	reads func() bool
 
 	mu        sync.Mutex
 	rows      map[string]rowstore.Row
@@ -62,6 +65,12 @@
 	return func(f *Feed) { f.hold = d }
 }
 
+// WithReader makes the feed call the store only while reads reports true;
+// meanwhile peers bring the changes.
+func WithReader(reads func() bool) Option {
+	return func(f *Feed) { f.reads = reads }
+}
+
 // WithClock replaces the real clock.
 func WithClock(c clockwork.Clock) Option {
 	return func(f *Feed) { f.clock = c }
@@ -91,6 +100,9 @@
 func (f *Feed) Run(ctx context.Context) {
 	defer close(f.done)
 	for ctx.Err() == nil {
+		if f.idle(ctx) {
+			continue
+		}
 		began := f.clock.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -113,6 +125,22 @@
 	}
 }
 
+// idle waits a little if others follow the store for this VM.
+func (f *Feed) idle(ctx context.Context) bool {
+	if _, read := f.Version(); !read || f.reads == nil || f.reads() {
+		return false
+	}
+	f.mu.Lock()
+	f.failing = time.Time{} // unknown while this VM does not call
+	f.mu.Unlock()
+	f.expire()
+	select {
+	case <-f.clock.After(idleWait):
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // Done is closed when Run has returned.
 func (f *Feed) Done() <-chan struct{} { return f.done }
 
