Bound what VMs take at the same time by a bucket of each

Cause: the new schedule check (allowance) admitted 735,188 tokens in 8 s against a bound of 704,000: between two digests each VM could drain its copy of the fleet's bucket.

--- a/internal/serving/allowance/allowance.go
+++ b/internal/serving/allowance/allowance.go
@@ -1,9 +1,9 @@
 // Package allowance bounds what one VM admits of each customer, so that all
 // VMs together keep to the customer's rate. Every VM keeps a copy of one
 // bucket for the whole fleet: its own charges count at once, those of others
-// when their next digest tells of them. Until then a VM takes no more than its
-// part of the demand entitles it to, and a little more. It has no input or
-// output.
+// when their next digest tells of them. What VMs take at the same time is
+// bounded by a second bucket of each, with a part of the rate that is a little
+// more than its part of the demand. It has no input or output.
 package allowance
 
 import (
@@ -20,15 +20,15 @@
 	// floorShare is the part of an equal part that a VM keeps without any
 	// demand, for the first requests of a customer that moves to it.
 	floorShare = 0.3
-	// boost is how much more than its part a VM may take between two digests
-	// of the others; what is taken too much is repaid by the next refill.
-	boost = 1.5
+	// boost is how much larger than its part of the demand a VM's own bucket
+	// is; what all take too much is repaid by the fleet's bucket.
+	boost = 1.4
 	// overageUsed is the part of the operators' overage that is given out,
 	// slackInRate and slackInBurst are the parts of their slack. The rest
 	// covers what VMs take at the same time, and restarts.
 	overageUsed  = 0.5
-	slackInRate  = 0.35
-	slackInBurst = 0.25
+	slackInRate  = 0.3
+	slackInBurst = 0.18
 	// firstFill is the time whose refill a bucket begins with; it is short,
 	// so that restarts do not multiply the burst.
 	firstFill = 250 * time.Millisecond
@@ -61,8 +61,9 @@
 
 // bucket is one customer's.
 type bucket struct {
-	level  float64
-	filled time.Time
+	// level is what the fleet's bucket holds, own what this VM's does.
+	level, own float64
+	filled     time.Time
 	// demand is what callers ask for here, asked what has come since it was
 	// measured.
 	demand   float64
@@ -127,20 +128,24 @@
 	b := a.bucket(c.Name)
 	b.asked += cost
 	rate, capacity := a.limits(c)
+	part := min(1, boost*a.share(c.Name, b, now))
 	if b.filled.IsZero() {
 		b.level += rate * firstFill.Seconds()
+		b.own += part * rate * firstFill.Seconds()
 		b.filled = a.began
 	}
-	b.fill(rate, capacity, now)
-	part := min(1, boost*a.share(c.Name, b, now))
-	// A request above the part of a full bucket needs a full bucket.
-	needed := min(cost/part, max(capacity, cost))
-	if b.level >= needed || b.level >= capacity {
+	b.fill(rate, capacity, part, now)
+	// A request that is larger than a bucket needs a full one.
+	fleet := min(cost, capacity)
+	own := min(cost, part*capacity)
+	if b.level >= fleet && b.own >= own {
 		b.level -= cost
+		b.own -= cost
 		b.admitted += cost
 		return true, 0
 	}
-	return false, time.Duration((needed - b.level) / rate * float64(time.Second))
+	wait := max((fleet-b.level)/rate, (own-b.own)/(part*rate))
+	return false, time.Duration(wait * float64(time.Second))
 }
 
 // Refund returns the cost of a request that has not run.
@@ -150,6 +155,7 @@
 	}
 	b := a.bucket(c.Name)
 	b.level += cost
+	b.own += cost
 	b.admitted -= cost
 }
 
@@ -207,7 +213,9 @@
 }
 
 // fill adds what has come since the last call.
-func (b *bucket) fill(rate, capacity float64, now time.Time) {
-	b.level = min(capacity, b.level+rate*max(0, now.Sub(b.filled).Seconds()))
+func (b *bucket) fill(rate, capacity, part float64, now time.Time) {
+	passed := max(0, now.Sub(b.filled).Seconds())
+	b.level = min(capacity, b.level+rate*passed)
+	b.own = min(part*capacity, b.own+part*rate*passed)
 	b.filled = now
 }
--- a/internal/serving/duty/duty.go
+++ b/internal/serving/duty/duty.go
@@ -26,6 +26,8 @@
 	term = 2100 * time.Millisecond
 	// renewInterval is the time between renewals.
 	renewInterval = 700 * time.Millisecond
+	// renewRetry is the time until a renewal that failed is tried again.
+	renewRetry = 150 * time.Millisecond
 	// sendMargin is left between the last order and the end of the term, for
 	// an order that is slow to leave the process.
 	sendMargin = 150 * time.Millisecond
@@ -136,7 +138,7 @@
 func (d *Duty) Run(ctx context.Context) {
 	defer close(d.done)
 	for {
-		wait := d.step(ctx)
+		wait := d.Step(ctx)
 		select {
 		case <-d.clock.After(wait):
 		case <-ctx.Done():
@@ -149,11 +151,11 @@
 // Done is closed when Run has returned.
 func (d *Duty) Done() <-chan struct{} { return d.done }
 
-// step renews or looks, and returns the time until the next step.
-func (d *Duty) step(ctx context.Context) time.Duration {
+// Step renews the duty, or looks whether it is free, and returns the time
+// until the next step. Run calls it; tests may instead.
+func (d *Duty) Step(ctx context.Context) time.Duration {
 	if d.held() {
-		d.renew(ctx)
-		return renewInterval
+		return d.renew(ctx)
 	}
 	ok, rank := d.contend()
 	if !ok {
@@ -186,7 +188,8 @@
 	return true
 }
 
-func (d *Duty) renew(ctx context.Context) {
+// renew renews the term, and returns the time until the next step.
+func (d *Duty) renew(ctx context.Context) time.Duration {
 	d.mu.Lock()
 	version, fence := d.version, d.fence
 	d.mu.Unlock()
@@ -200,12 +203,14 @@
 		d.reread(ctx)
 	default:
 		d.mu.Lock()
+		defer d.mu.Unlock()
 		d.version = result.Version
 		if d.term != nil {
 			d.term = &Term{Fence: fence, until: sent + term, clock: d.boot}
 		}
-		d.mu.Unlock()
+		return renewInterval
 	}
+	return renewRetry
 }
 
 // reread settles a renewal with an unknown outcome: the row is still this
--- a/internal/serving/storerelay/storerelay.go
+++ b/internal/serving/storerelay/storerelay.go
@@ -48,7 +48,7 @@
 
 // List implements rowstore.Store.
 func (s *Store) List(ctx context.Context, t rowstore.Table) (rowstore.Page, error) {
-	err := error(rowstore.ErrRefused)
+	err := rowstore.ErrRefused
 	if !s.Failing() {
 		var page rowstore.Page
 		if page, err = s.Direct.List(ctx, t); err == nil {
--- /dev/null
+++ b/internal/serving/storestandin/storestandin.go
@@ -0,0 +1,202 @@
+// Package storestandin is an in-memory rowstore.Store for tests, with the
+// failures of the real one. No program of the system imports it.
+package storestandin
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+)
+
+// Failure is a way in which calls fail.
+type Failure int
+
+// The failures.
+const (
+	// None lets calls pass.
+	None Failure = iota
+	// Refused calls are turned away; nothing is done.
+	Refused
+	// Lost calls are carried out, and their answer is lost.
+	Lost
+	// Silent calls are not carried out and not answered.
+	Silent
+)
+
+// Store is the stand-in. Its methods may be called at the same time.
+type Store struct {
+	clock clockwork.Clock
+	begun time.Time
+
+	mu      sync.Mutex
+	version int64
+	rows    map[rowstore.Table]map[string]rowstore.Row
+	history []change
+	dropped int64
+	failure Failure
+	changed chan struct{}
+	calls   int
+}
+
+type change struct {
+	table rowstore.Table
+	row   rowstore.Row
+}
+
+// New returns an empty store.
+func New(clock clockwork.Clock) *Store {
+	return &Store{
+		clock:   clock,
+		begun:   clock.Now(),
+		rows:    make(map[rowstore.Table]map[string]rowstore.Row),
+		changed: make(chan struct{}),
+	}
+}
+
+// Fail makes calls fail from now on.
+func (s *Store) Fail(f Failure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failure = f
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped, s.history = s.version, nil
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) now() time.Duration { return s.clock.Since(s.begun) }
+
+// fails counts a call and returns whether it is carried out, and its failure.
+func (s *Store) fails() (done bool, err error) {
+	s.calls++
+	switch s.failure {
+	case Refused:
+		return false, rowstore.ErrRefused
+	case Lost:
+		return true, rowstore.ErrUnanswered
+	case Silent:
+		return false, rowstore.ErrUnanswered
+	case None:
+	}
+	return true, nil
+}
+
+// List implements rowstore.Store.
+func (s *Store) List(_ context.Context, t rowstore.Table) (rowstore.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := s.fails(); err != nil {
+		return rowstore.Page{}, err
+	}
+	page := rowstore.Page{Version: s.version, Time: s.now()}
+	for _, r := range s.rows[t] {
+		page.Rows = append(page.Rows, r)
+	}
+	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Key < page.Rows[j].Key })
+	return page, nil
+}
+
+// Follow implements rowstore.Store.
+func (s *Store) Follow(ctx context.Context, t rowstore.Table, after int64, wait time.Duration) (rowstore.Page, error) {
+	timeout := s.clock.After(wait)
+	for {
+		s.mu.Lock()
+		_, err := s.fails()
+		if err == nil && after < s.dropped {
+			err = rowstore.ErrHistoryGone
+		}
+		page := rowstore.Page{Version: s.version, Time: s.now()}
+		for _, c := range s.history {
+			if c.table == t && c.row.Version > after {
+				page.Rows = append(page.Rows, c.row)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return page, nil
+		case <-ctx.Done():
+			return page, rowstore.ErrUnanswered
+		}
+	}
+}
+
+// Write implements rowstore.Store.
+func (s *Store) Write(_ context.Context, writes ...rowstore.Write) (rowstore.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done, err := s.fails()
+	if !done {
+		return rowstore.Result{}, err
+	}
+	result := s.apply(writes)
+	if err != nil {
+		return rowstore.Result{}, err
+	}
+	return result, nil
+}
+
+func (s *Store) apply(writes []rowstore.Write) rowstore.Result {
+	result := rowstore.Result{Applied: true, Time: s.now()}
+	for _, w := range writes {
+		current := s.rows[w.Table][w.Key]
+		if w.Expect != rowstore.AnyVersion && current.Version != w.Expect {
+			result.Applied = false
+			result.Current = append(result.Current, current)
+		}
+	}
+	if !result.Applied {
+		return result
+	}
+	s.version++
+	result.Version = s.version
+	for _, w := range writes {
+		row := rowstore.Row{Key: w.Key, Value: w.Value, Version: s.version, Deleted: w.Delete}
+		if s.rows[w.Table] == nil {
+			s.rows[w.Table] = make(map[string]rowstore.Row)
+		}
+		if w.Delete {
+			delete(s.rows[w.Table], w.Key)
+		} else {
+			s.rows[w.Table][w.Key] = row
+		}
+		s.history = append(s.history, change{w.Table, row})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return result
+}
+
+// Put writes a row as another writer does, whatever failure is set.
+func (s *Store) Put(t rowstore.Table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]rowstore.Write{{Table: t, Key: key, Expect: rowstore.AnyVersion, Value: value}})
+}
+
+// Delete drops a row as another writer does, whatever failure is set.
+func (s *Store) Delete(t rowstore.Table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]rowstore.Write{{Table: t, Key: key, Expect: rowstore.AnyVersion, Delete: true}})
+}
