--- /dev/null
+++ b/internal/serving/decisionlog/decisionlog_test.go
@@ -0,0 +1,89 @@
+package decisionlog_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/serving/decisionlog"
+)
+
+func TestDecisionLog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "decision log")
+}
+
+// blocked is a reader that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.Write(p)
+}
+
+func (b *blocked) lines(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Count(b.out.Bytes(), []byte(text))
+}
+
+var _ = Describe("a decision log", func() {
+	var (
+		clock  *clockwork.FakeClock
+		out    *blocked
+		w      *decisionlog.Writer
+		logger hclog.Logger
+	)
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		out = &blocked{release: make(chan struct{})}
+		w = decisionlog.NewWriter(out, clock)
+		logger = hclog.New(&hclog.LoggerOptions{Output: w, JSONFormat: true, Level: hclog.Info})
+	})
+
+	It("never blocks on a reader that stands still", func(ctx SpecContext) {
+		for range 5000 {
+			logger.Info("routine")
+		}
+		close(out.release)
+		Expect(w.Close()).To(Succeed())
+		Expect(out.lines("routine")).To(BeNumerically("<", 1000))
+	}, SpecTimeout(5*time.Second))
+
+	It("leaves out routine lines before warnings, and tells how many", func() {
+		close(out.release)
+		for i := range 2000 {
+			logger.Info("routine")
+			if i%20 == 0 {
+				logger.Warn("trouble")
+			}
+			time.Sleep(20 * time.Microsecond)
+		}
+		clock.Advance(10 * time.Second)
+		logger.Warn("end")
+		Expect(w.Close()).To(Succeed())
+		Expect(out.lines(`"trouble"`)).To(Equal(100))
+		Expect(out.lines(`"routine"`)).To(BeNumerically("<", 600))
+		Expect(out.lines(`"log lines left out"`)).To(BeNumerically(">=", 1))
+	})
+
+	It("drops lines after its end", func() {
+		close(out.release)
+		Expect(w.Close()).To(Succeed())
+		logger.Info("late")
+		Expect(out.lines("late")).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/serving/fleetview/fleetview_test.go
@@ -0,0 +1,179 @@
+package fleetview_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/fleetview"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
+
+func TestFleetView(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet view")
+}
+
+var _ = Describe("a view", func() {
+	now := time.Unix(1000, 0)
+	pool := &policy.Pool{Name: "engines", Engine: &policy.Engine{Slots: 64, KVTokens: 200_000}}
+	var v *fleetview.View
+	engine := func(id string, models ...target.Held) *target.Target {
+		return &target.Target{
+			ID: id, Born: 1, Pool: "engines", DataCentre: "a", Slots: 64,
+			Address: netip.MustParseAddrPort("10.0.0.1:80"), Weights: target.Weights{Models: models},
+		}
+	}
+	want := func(parts ...exchange.Part) *fleetview.Want {
+		w := &fleetview.Want{Pool: pool, Model: "m", PromptTokens: 3000, AnswerTokens: 100}
+		w.Chain = fleetview.ChainHashes("m", "", parts)
+		for _, p := range parts {
+			w.ChainTokens = append(w.ChainTokens, p.Tokens)
+		}
+		return w
+	}
+	BeforeEach(func() {
+		v = fleetview.New("a")
+		v.Set(engine("e1", target.Held{Model: "m", Adapters: []string{"a1"}}))
+		v.Set(engine("e2", target.Held{Model: "m"}))
+		v.Set(engine("e3", target.Held{Model: "other"}))
+	})
+	begin := func(w *fleetview.Want) *fleetview.Ticket {
+		c := v.Choose(w, now)
+		return v.Begin(&c, w, now)
+	}
+
+	It("chooses only engines that hold the model, and the adapter", func() {
+		c := v.Choose(want(), now)
+		Expect(c.Candidates).To(Equal(2))
+		Expect(c.InPool).To(Equal(3))
+		w := want()
+		w.Adapter = "a1"
+		Expect(v.Choose(w, now).Target.ID).To(Equal("e1"))
+		w.Adapter = "a2"
+		c = v.Choose(w, now)
+		Expect(c.Target).To(BeNil())
+		Expect(c.WithModel).To(Equal(2))
+	})
+
+	It("chooses no target that leaves, is excluded or is gone", func() {
+		leaving := engine("e1", target.Held{Model: "m"})
+		leaving.Draining = true
+		v.Set(leaving)
+		Expect(v.Choose(want(), now).Target.ID).To(Equal("e2"))
+		w := want()
+		w.Exclude = []string{"e2"}
+		Expect(v.Choose(w, now).Target).To(BeNil())
+		v.Remove("e2")
+		Expect(v.Choose(want(), now).Target).To(BeNil())
+	})
+
+	It("spreads work by what it has sent, and what peers tell", func() {
+		w := want()
+		first := v.Choose(w, now)
+		v.Begin(&first, w, now)
+		second := v.Choose(w, now)
+		Expect(second.Target.ID).NotTo(Equal(first.Target.ID))
+		v.SetPeerLoads("peer", []*meshpb.Load{{Target: second.Target.ID, Requests: 5, PromptTokens: 60_000, KvTokens: 60_000}})
+		Expect(v.Choose(w, now).Target.ID).To(Equal(first.Target.ID))
+		v.SetPeerLoads("peer", nil)
+		Expect(v.Choose(w, now).Target.ID).To(Equal(second.Target.ID))
+	})
+
+	It("prefers the engine that has read the beginning of the prompt", func() {
+		w := want(exchange.Part{ID: "s", Tokens: 2500}, exchange.Part{ID: "own", Tokens: 500})
+		c := v.Choose(w, now)
+		t := v.Begin(&c, w, now)
+		t.Started(now)
+		t.End(false, now)
+		again := want(exchange.Part{ID: "s", Tokens: 2500}, exchange.Part{ID: "another", Tokens: 500})
+		for range 20 {
+			next := v.Choose(again, now)
+			Expect(next.Target.ID).To(Equal(c.Target.ID))
+			Expect(next.Cached).To(Equal(2500))
+		}
+	})
+
+	It("knows from peers what engines have read", func() {
+		w := want(exchange.Part{ID: "s", Tokens: 2500}, exchange.Part{ID: "own", Tokens: 500})
+		v.PeerSent([]*meshpb.Send{{Target: "e2", Parts: w.Chain, Tokens: []uint32{2500, 500}}})
+		c := v.Choose(w, now)
+		Expect(c.Target.ID).To(Equal("e2"))
+		Expect(c.Cached).To(Equal(3000))
+	})
+
+	It("chooses the same engine at every VM for a prefix that none has read", func() {
+		other := fleetview.New("a")
+		other.Set(engine("e2", target.Held{Model: "m"}))
+		other.Set(engine("e1", target.Held{Model: "m"}))
+		w := want(exchange.Part{ID: "s", Tokens: 2500}, exchange.Part{ID: "own", Tokens: 500})
+		Expect(v.Choose(w, now).Target.ID).To(Equal(other.Choose(w, now).Target.ID))
+	})
+
+	It("tells sends once to each peer, by the number it has seen", func() {
+		begin(want(exchange.Part{ID: "s", Tokens: 10}))
+		sends, upto := v.SendsAfter(0)
+		Expect(sends).To(HaveLen(1))
+		begin(want(exchange.Part{ID: "t", Tokens: 10}))
+		sends, _ = v.SendsAfter(upto)
+		Expect(sends).To(HaveLen(1))
+		sends, _ = v.SendsAfter(0)
+		Expect(sends).To(HaveLen(2))
+	})
+
+	It("keeps work away from an engine that fails, and tries it again later", func() {
+		for range 10 {
+			w := want()
+			w.Exclude = []string{"e2"}
+			begin(w).End(true, now)
+		}
+		for range 3 {
+			begin(want())
+		}
+		Expect(v.Loads()).To(ConsistOf(HaveField("Target", "e2")))
+		later := now.Add(time.Minute)
+		Expect(v.Choose(want(), later).Target.ID).To(Equal("e1"))
+	})
+
+	It("leaves an engine alone that cannot be reached", func() {
+		w := want()
+		w.Exclude = []string{"e2"}
+		t := begin(w)
+		t.Unreachable(now)
+		t.End(true, now)
+		Expect(v.Choose(w, now).Target).To(BeNil())
+		Expect(v.Choose(w, now.Add(5*time.Second)).Target.ID).To(Equal("e1"))
+	})
+
+	It("does not offer weights that an engine has denied", func() {
+		w := want()
+		w.Exclude = []string{"e2"}
+		begin(w).Absent(now)
+		Expect(v.Choose(w, now).Target).To(BeNil())
+		Expect(v.Choose(w, now.Add(time.Second)).Target.ID).To(Equal("e1"))
+	})
+
+	It("believes the duty holder before the engine's own row, while the holder lives", func() {
+		v.SetInventory("e3", 1, []target.Held{{Model: "m"}}, now)
+		Expect(v.Choose(want(), now).Candidates).To(Equal(3))
+		v.KeepInventory(now.Add(3 * time.Second))
+		Expect(v.Choose(want(), now.Add(6*time.Second)).Candidates).To(Equal(3))
+		Expect(v.Choose(want(), now.Add(time.Minute)).Candidates).To(Equal(2))
+		v.SetInventory("e3", 2, []target.Held{{Model: "m"}}, now.Add(time.Minute))
+		Expect(v.Choose(want(), now.Add(time.Minute)).Candidates).To(Equal(2), "another incarnation")
+	})
+
+	It("forgets everything about an engine that was started again", func() {
+		begin(want())
+		again := engine("e1", target.Held{Model: "m"})
+		again.Born = 2
+		Expect(v.Set(again)).To(BeTrue())
+		Expect(v.Requests("e1")).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/serving/forward/forward_test.go
@@ -0,0 +1,354 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/serving/allowance"
+	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/fleetview"
+	"fireflypier.example/fireflypier/internal/serving/forward"
+	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/retrybudget"
+	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/transport"
+)
+
+func TestForward(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "forward")
+}
+
+// reply is what a scripted target does with one request.
+type reply struct {
+	status  int
+	body    string
+	breaks  bool
+	notRun  bool
+	mislead bool
+	err     error
+	hang    bool
+}
+
+// script is a sender with prepared replies.
+type script struct {
+	mu       sync.Mutex
+	replies  []reply
+	attempts []exchange.Attempt
+}
+
+var errReset = errors.New("connection reset")
+
+func (s *script) Send(ctx context.Context, _ *exchange.Request, a *exchange.Attempt) (*exchange.Answer, error) {
+	s.mu.Lock()
+	s.attempts = append(s.attempts, *a)
+	r := reply{status: http.StatusOK, body: "answer"}
+	if len(s.replies) > 0 {
+		r, s.replies = s.replies[0], s.replies[1:]
+	}
+	s.mu.Unlock()
+	if r.hang {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	var body io.Reader = strings.NewReader(r.body)
+	if r.breaks {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return &exchange.Answer{
+		Status: r.status, Header: http.Header{"X-Target": {a.Target.ID}}, Body: io.NopCloser(body),
+		NotRun: r.notRun || r.mislead, Misdirected: r.mislead, Signed: !r.notRun && !r.mislead,
+	}, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// shelf is a placer that has every adapter it is told to have.
+type shelf struct {
+	view  *fleetview.View
+	brief string
+	asked int
+}
+
+func (s *shelf) Asked(_, _, _ string, _ int, waits bool) {
+	if waits {
+		s.asked++
+	}
+}
+
+func (s *shelf) Bring(_ context.Context, _, model, adapter string) (string, error) {
+	if s.brief == "" {
+		return "", errors.New("no VM holds the order duty")
+	}
+	s.view.AddAdapter(s.brief, model, adapter, time.Now())
+	return s.brief, nil
+}
+
+var _ = Describe("a request", func() {
+	var (
+		p      *policy.Policy
+		view   *fleetview.View
+		sender *script
+		placer *shelf
+		f      *forward.Forward
+	)
+	BeforeEach(func() {
+		p = (&policy.Policy{
+			Routes: []policy.Route{
+				{Name: "look", Host: "h", Prefix: "/look/", Kind: policy.Idempotent, MaxAttempts: 2, Timeout: time.Second, Split: []policy.Share{{Pool: "plain", Weight: 1}}},
+				{Name: "buy", Host: "h", Prefix: "/buy/", Kind: policy.AtMostOnce, MaxAttempts: 2, Timeout: time.Second, Split: []policy.Share{{Pool: "plain", Weight: 1}}},
+				{Name: "draft", Host: "h", Prefix: "/draft/", Kind: policy.Stream, Resumable: true, MaxAttempts: 3, Timeout: time.Second, Split: []policy.Share{{Pool: "engines", Weight: 1}}},
+				{Name: "once", Host: "h", Prefix: "/once/", Kind: policy.Stream, MaxAttempts: 3, Timeout: time.Second, Split: []policy.Share{{Pool: "engines", Weight: 1}}},
+				{Name: "open", Host: "h", Prefix: "/open/", Kind: policy.Idempotent, MaxAttempts: 1, Open: true, Split: []policy.Share{{Pool: "plain", Weight: 1}}},
+			},
+			Pools:     []policy.Pool{{Name: "plain"}, {Name: "engines", Engine: &policy.Engine{Slots: 64, KVTokens: 200_000}}},
+			Customers: []policy.Customer{{Name: "c", Keys: []string{"key"}, Rate: 1000, Burst: 1000, ByTokens: true, PlainCost: 10}},
+		}).Index()
+		view = fleetview.New("a")
+		for _, id := range []string{"p1", "p2", "p3"} {
+			view.Set(&target.Target{ID: id, Pool: "plain", Slots: 6, Address: netip.MustParseAddrPort("10.0.0.1:80")})
+		}
+		for _, id := range []string{"e1", "e2", "e3"} {
+			view.Set(&target.Target{
+				ID: id, Pool: "engines", Slots: 64, Address: netip.MustParseAddrPort("10.0.0.2:80"),
+				Weights: target.Weights{Models: []target.Held{{Model: "m"}}},
+			})
+		}
+		sender = &script{}
+		placer = &shelf{view: view}
+		clock := clockwork.NewRealClock()
+		f = forward.New(forward.Parts{
+			Policy:  func() *policy.Policy { return p },
+			View:    view,
+			Sender:  sender,
+			Placer:  placer,
+			Rates:   allowance.New(allowance.Tolerance{Window: time.Second}, clock.Now().Add(-time.Minute)),
+			Retries: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Window: time.Second, Slack: 100}),
+			VMs:     func() int { return 1 },
+			Metrics: forward.NewMetrics(prometheus.NewRegistry()),
+			Clock:   clock,
+			Logger:  hclog.NewNullLogger(),
+		})
+	})
+	// ask sends a request; aborted tells that its answer was broken off.
+	ask := func(path string, change ...func(*exchange.Request)) (w *httptest.ResponseRecorder, aborted bool, err error) {
+		r := &exchange.Request{ID: "1", Method: http.MethodPost, HostName: "h", Path: path, URI: path, Key: "key", Arrival: time.Now()}
+		if strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/once/") {
+			r.Model = "m"
+		}
+		for _, c := range change {
+			c(r)
+		}
+		w = httptest.NewRecorder()
+		defer func() {
+			if v := recover(); v != nil {
+				Expect(v).To(Equal(http.ErrAbortHandler))
+				aborted = true
+			}
+		}()
+		err = f.Serve(w, httptest.NewRequest(http.MethodPost, path, nil), r)
+		return w, false, err
+	}
+	kind := func(err error) failure.Kind { return failure.From(err).Kind }
+	events := func(ids ...string) string {
+		text := ""
+		for _, id := range ids {
+			text += "id: " + id + "\ndata: x" + id + "\n\n"
+		}
+		return text
+	}
+
+	It("runs for the customer whose key came with it", func() {
+		w, _, err := ask("/look/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Body.String()).To(Equal("answer"))
+		Expect(sender.attempts[0].Customer).To(Equal("c"))
+		Expect(sender.attempts[0].Budget).To(BeNumerically("~", time.Second, 100*time.Millisecond))
+	})
+
+	It("is refused without a route, a key or a configuration, and has not been sent", func() {
+		_, _, err := ask("/nowhere/")
+		Expect(kind(err)).To(Equal(failure.UnknownRoute))
+		_, _, err = ask("/look/1", func(r *exchange.Request) { r.Key = "" })
+		Expect(kind(err)).To(Equal(failure.MissingKey))
+		_, _, err = ask("/look/1", func(r *exchange.Request) { r.Key = "other" })
+		Expect(kind(err)).To(Equal(failure.InvalidKey))
+		_, _, err = ask("/open/1", func(r *exchange.Request) { r.Key = "" })
+		Expect(err).NotTo(HaveOccurred())
+		p = nil
+		_, _, err = ask("/look/1")
+		Expect(kind(err)).To(Equal(failure.StaleConfiguration))
+		Expect(sender.attempts).To(HaveLen(1))
+	})
+
+	It("is refused above the customer's rate, with a time to come back", func() {
+		_, _, err := ask("/look/1", func(r *exchange.Request) { r.Sized, r.PromptTokens = true, 1000 })
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = ask("/look/1", func(r *exchange.Request) { r.Sized, r.PromptTokens = true, 500 })
+		Expect(kind(err)).To(Equal(failure.RateExceeded))
+		Expect(failure.From(err).RetryAfter).To(BeNumerically("~", 500*time.Millisecond, 100*time.Millisecond))
+	})
+
+	It("goes to another target when the first has not run it", func() {
+		sender.replies = []reply{{status: 503, notRun: true}}
+		w, _, err := ask("/buy/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Code).To(Equal(http.StatusOK))
+		Expect(sender.attempts).To(HaveLen(2))
+		Expect(sender.attempts[0].Target.ID).NotTo(Equal(sender.attempts[1].Target.ID))
+	})
+
+	It("goes to another target when the first cannot be reached", func() {
+		sender.replies = []reply{{err: transport.NewNotSentError(errReset)}}
+		w, _, err := ask("/buy/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Code).To(Equal(http.StatusOK))
+	})
+
+	It("that must not be repeated is sent once when it may have run", func() {
+		sender.replies = []reply{{err: errReset}}
+		_, _, err := ask("/buy/1")
+		Expect(kind(err)).To(Equal(failure.OutcomeUnknown))
+		Expect(sender.attempts).To(HaveLen(1))
+		sender.replies = []reply{{status: 200, body: "ans", breaks: true}}
+		_, _, err = ask("/buy/2")
+		Expect(kind(err)).To(Equal(failure.OutcomeUnknown))
+		Expect(sender.attempts).To(HaveLen(2))
+	})
+
+	It("that must not be repeated gets the target's failure", func() {
+		sender.replies = []reply{{status: 500, body: "failed"}}
+		w, _, err := ask("/buy/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Code).To(Equal(500))
+		Expect(w.Body.String()).To(Equal("failed"))
+	})
+
+	It("that may be repeated is tried elsewhere, on no more targets than the route allows", func() {
+		sender.replies = []reply{{status: 500}, {status: 500, body: "last"}}
+		w, _, err := ask("/look/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Body.String()).To(Equal("last"))
+		Expect(sender.attempts).To(HaveLen(2))
+	})
+
+	It("is not repeated once the retry budget is used up", func() {
+		f.SetBounds(allowance.Tolerance{Window: time.Second}, retrybudget.Bound{Window: time.Second})
+		sender.replies = []reply{{err: errReset}}
+		_, _, err := ask("/look/1")
+		Expect(kind(err)).To(Equal(failure.OutcomeUnknown))
+		Expect(sender.attempts).To(HaveLen(1))
+	})
+
+	It("ends at its route's time-out when the target is silent", func() {
+		p.Routes[1].Timeout = 100 * time.Millisecond
+		sender.replies = []reply{{hang: true}}
+		began := time.Now()
+		_, _, err := ask("/buy/1")
+		Expect(kind(err)).To(Equal(failure.OutcomeUnknown))
+		Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
+	})
+
+	It("streams whole events", func() {
+		sender.replies = []reply{{status: 200, body: events("1", "2", "3")}}
+		w, _, err := ask("/draft/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Body.String()).To(Equal(events("1", "2", "3")))
+	})
+
+	It("resumes a broken stream after the last whole event, inside the same answer", func() {
+		sender.replies = []reply{
+			{status: 200, body: events("1", "2") + "id: 3\ndata: ha", breaks: true},
+			{status: 200, body: events("2", "3", "4")},
+		}
+		w, _, err := ask("/draft/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Body.String()).To(Equal(events("1", "2", "3", "4")))
+		Expect(sender.attempts[1].LastEvent).To(Equal("2"))
+		Expect(w.Header().Get("X-Target")).To(Equal(sender.attempts[0].Target.ID))
+	})
+
+	It("breaks a stream off that would have a gap", func() {
+		sender.replies = []reply{
+			{status: 200, body: events("1"), breaks: true},
+			{status: 200, body: events("3")},
+			{status: 200, body: events("3")},
+		}
+		w, aborted, _ := ask("/draft/1")
+		Expect(aborted).To(BeTrue())
+		Expect(w.Body.String()).To(Equal(events("1")))
+	})
+
+	It("breaks a stream off that may not be resumed", func() {
+		sender.replies = []reply{{status: 200, body: events("1"), breaks: true}}
+		w, aborted, _ := ask("/once/1")
+		Expect(aborted).To(BeTrue())
+		Expect(w.Body.String()).To(Equal(events("1")))
+		Expect(sender.attempts).To(HaveLen(1))
+	})
+
+	It("does not let a stream that ends within an event look complete", func() {
+		sender.replies = []reply{{status: 200, body: events("1") + "id: 2\nda"}}
+		_, aborted, _ := ask("/once/1")
+		Expect(aborted).To(BeTrue())
+	})
+
+	It("has an adapter brought that no engine holds", func() {
+		placer.brief = "e2"
+		w, _, err := ask("/draft/1", func(r *exchange.Request) { r.Adapter = "a1" })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Code).To(Equal(http.StatusOK))
+		Expect(sender.attempts[0].Target.ID).To(Equal("e2"))
+	})
+
+	It("waits for weights only a part of its time, and has then not run", func() {
+		began := time.Now()
+		_, _, err := ask("/draft/1", func(r *exchange.Request) { r.Model = "absent" })
+		Expect(kind(err)).To(Equal(failure.NoReplica))
+		Expect(time.Since(began)).To(BeNumerically("~", 400*time.Millisecond, 150*time.Millisecond))
+		Expect(sender.attempts).To(BeEmpty())
+		Expect(placer.asked).To(BeNumerically(">=", 1))
+	})
+
+	It("goes on as soon as an engine holds its weights", func() {
+		go func() {
+			defer GinkgoRecover()
+			time.Sleep(50 * time.Millisecond)
+			view.SetInventory("e3", 0, []target.Held{{Model: "new"}}, time.Now())
+		}()
+		_, _, err := ask("/draft/1", func(r *exchange.Request) { r.Model = "new" })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sender.attempts[0].Target.ID).To(Equal("e3"))
+	})
+
+	It("does not go back to an engine that denies holding its weights", func() {
+		sender.replies = []reply{{status: 421, mislead: true}, {status: 421, mislead: true}}
+		_, _, err := ask("/draft/1")
+		Expect(err).NotTo(HaveOccurred())
+		ids := map[string]bool{}
+		for _, a := range sender.attempts {
+			ids[a.Target.ID] = true
+		}
+		Expect(ids).To(HaveLen(3))
+	})
+})
--- /dev/null
+++ b/internal/serving/storerelay/storerelay_test.go
@@ -0,0 +1,113 @@
+package storerelay_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/storerelay"
+	"fireflypier.example/fireflypier/internal/serving/storestandin"
+)
+
+func TestStoreRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store relay")
+}
+
+// turnedAway is a store that refuses this VM.
+type turnedAway struct {
+	rowstore.Store
+	err error
+}
+
+func (t turnedAway) List(context.Context, rowstore.Table) (rowstore.Page, error) {
+	return rowstore.Page{}, t.err
+}
+
+func (t turnedAway) Write(context.Context, ...rowstore.Write) (rowstore.Result, error) {
+	return rowstore.Result{}, t.err
+}
+
+var _ = Describe("a relayed store", func() {
+	var (
+		real    *storestandin.Store
+		relayed int
+		reached bool
+	)
+	ctx := context.Background()
+	peer := netip.MustParseAddrPort("10.0.0.2:7600")
+	write := rowstore.Write{Table: rowstore.Duties, Key: "k", Value: []byte("v")}
+	relay := func(err error, failing bool) *storerelay.Store {
+		return storerelay.New(storerelay.Parts{
+			Direct:  turnedAway{err: err},
+			Failing: func() bool { return failing },
+			Peers:   func() []netip.AddrPort { return []netip.AddrPort{peer} },
+			Relay: func(ctx context.Context, _ netip.AddrPort, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error) {
+				relayed++
+				if !reached {
+					return nil, errors.New("not reached")
+				}
+				return storerelay.Serve(ctx, real, c)
+			},
+			Logger: hclog.NewNullLogger(),
+		})
+	}
+	BeforeEach(func() {
+		real = storestandin.New(clockwork.NewFakeClock())
+		relayed, reached = 0, true
+	})
+
+	It("writes and lists through a peer when it is turned away", func() {
+		s := relay(rowstore.ErrRefused, false)
+		result, err := s.Write(ctx, write)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Applied).To(BeTrue())
+		result, err = s.Write(ctx, write)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Applied).To(BeFalse())
+		Expect(result.Current).To(HaveLen(1))
+		page, err := s.List(ctx, rowstore.Duties)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Rows).To(HaveLen(1))
+		Expect(page.Rows[0].Value).To(Equal([]byte("v")))
+	})
+
+	It("does not repeat a write that may have been carried out", func() {
+		s := relay(rowstore.ErrUnanswered, false)
+		_, err := s.Write(ctx, write)
+		Expect(err).To(MatchError(rowstore.ErrUnanswered))
+		Expect(relayed).To(BeZero())
+	})
+
+	It("asks a peer first while the store is known to turn it away", func() {
+		s := relay(rowstore.ErrUnanswered, true)
+		_, err := s.Write(ctx, write)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(relayed).To(Equal(1))
+	})
+
+	It("tells that a write through a silent peer may have been carried out", func() {
+		reached = false
+		s := relay(rowstore.ErrRefused, false)
+		_, err := s.Write(ctx, write)
+		Expect(err).To(MatchError(rowstore.ErrUnanswered))
+	})
+
+	It("passes the failures of the peer's own call on", func() {
+		real.Fail(storestandin.Lost)
+		s := relay(rowstore.ErrRefused, false)
+		_, err := s.Write(ctx, write)
+		Expect(err).To(MatchError(rowstore.ErrUnanswered))
+		real.Fail(storestandin.Refused)
+		_, err = s.List(ctx, rowstore.Duties)
+		Expect(err).To(MatchError(rowstore.ErrRefused))
+	})
+})
--- /dev/null
+++ b/internal/serving/tablefeed/tablefeed_test.go
@@ -0,0 +1,162 @@
+package tablefeed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/storestandin"
+	"fireflypier.example/fireflypier/internal/serving/tablefeed"
+)
+
+func TestTableFeed(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "table feed")
+}
+
+// seenRows collects the changes that a feed tells.
+type seenRows struct {
+	mu   sync.Mutex
+	rows map[string]string
+}
+
+func (s *seenRows) change(rows []rowstore.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		if r.Deleted {
+			delete(s.rows, r.Key)
+		} else {
+			s.rows[r.Key] = string(r.Value)
+		}
+	}
+}
+
+func (s *seenRows) get(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key]
+}
+
+var _ = Describe("a feed", func() {
+	var (
+		clock *clockwork.FakeClock
+		store *storestandin.Store
+		seen  *seenRows
+		stop  context.CancelFunc
+		feed  *tablefeed.Feed
+	)
+	begin := func(opts ...tablefeed.Option) {
+		opts = append(opts, tablefeed.WithClock(clock))
+		feed = tablefeed.New(store, rowstore.Targets, "targets", hclog.NewNullLogger(), seen.change, opts...)
+		var ctx context.Context
+		ctx, stop = context.WithCancel(context.Background())
+		go feed.Run(ctx)
+	}
+	// pass lets simulated time pass in small steps.
+	pass := func(d time.Duration) {
+		for ; d > 0; d -= 50 * time.Millisecond {
+			clock.Advance(50 * time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	eventually := func(key, value string) {
+		GinkgoHelper()
+		for range 200 {
+			if seen.get(key) == value {
+				return
+			}
+			pass(50 * time.Millisecond)
+		}
+		Expect(seen.get(key)).To(Equal(value))
+	}
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		store = storestandin.New(clock)
+		seen = &seenRows{rows: make(map[string]string)}
+		store.Put(rowstore.Targets, "a", []byte("1"))
+	})
+	AfterEach(func() {
+		stop()
+		Eventually(feed.Done()).Should(BeClosed())
+	})
+
+	It("lists the table, then follows its changes", func() {
+		begin()
+		eventually("a", "1")
+		store.Put(rowstore.Targets, "a", []byte("2"))
+		eventually("a", "2")
+		store.Delete(rowstore.Targets, "a")
+		eventually("a", "")
+	})
+
+	It("lists the table again when the history is gone", func() {
+		begin()
+		eventually("a", "1")
+		store.Fail(storestandin.Refused)
+		pass(time.Second)
+		store.Delete(rowstore.Targets, "a")
+		store.Put(rowstore.Targets, "b", []byte("1"))
+		store.Compact()
+		store.Fail(storestandin.None)
+		eventually("b", "1")
+		Expect(seen.get("a")).To(BeEmpty())
+	})
+
+	It("keeps rows that lapsed in an outage until their owners had time to return", func() {
+		const hold = 2 * time.Second
+		begin(tablefeed.WithHold(hold))
+		eventually("a", "1")
+		store.Put(rowstore.Targets, "b", []byte("1"))
+		eventually("b", "1")
+		store.Fail(storestandin.Refused)
+		pass(5 * time.Second)
+		store.Delete(rowstore.Targets, "a")
+		store.Delete(rowstore.Targets, "b")
+		store.Fail(storestandin.None)
+		pass(time.Second)
+		Expect(seen.get("a")).To(Equal("1"))
+		store.Put(rowstore.Targets, "a", []byte("back"))
+		eventually("a", "back")
+		pass(2 * time.Second)
+		Expect(seen.get("a")).To(Equal("back"))
+		Expect(seen.get("b")).To(BeEmpty())
+	})
+
+	It("drops a row at once when it goes while the store is sound", func() {
+		begin(tablefeed.WithHold(2 * time.Second))
+		eventually("a", "1")
+		store.Delete(rowstore.Targets, "a")
+		pass(500 * time.Millisecond)
+		Expect(seen.get("a")).To(BeEmpty())
+	})
+
+	It("takes a newer table from a peer while the store turns it away, and no older one", func() {
+		begin()
+		eventually("a", "1")
+		store.Fail(storestandin.Refused)
+		pass(time.Second)
+		version, _ := feed.Version()
+		feed.Merge(rowstore.Page{Version: version + 3, Rows: []rowstore.Row{{Key: "c", Value: []byte("3"), Version: version + 3}}})
+		Expect(seen.get("c")).To(Equal("3"))
+		Expect(seen.get("a")).To(BeEmpty())
+		feed.Merge(rowstore.Page{Version: version + 1, Rows: []rowstore.Row{{Key: "a", Value: []byte("1"), Version: 1}}})
+		Expect(seen.get("a")).To(BeEmpty())
+		Expect(feed.ChangedAt()).To(Equal(version + 3))
+	})
+
+	It("leaves the store alone while others read it", func() {
+		begin(tablefeed.WithReader(func() bool { return false }))
+		eventually("a", "1")
+		calls := store.Calls()
+		pass(5 * time.Second)
+		Expect(store.Calls()).To(Equal(calls))
+	})
+})
