Drop the ledger: orders take effect only on the memory they were decided for

Cause: orders name the number of accepted orders that the engine must have, and engines check it whenever they carry an order out. So neither a late order nor one of a former holder can add to memory that it was not decided for, and a row in the store before each load brings nothing.

--- a/internal/serving/decisionlog/decisionlog_test.go
+++ b/internal/serving/decisionlog/decisionlog_test.go
@@ -54,7 +54,7 @@
 		logger = hclog.New(&hclog.LoggerOptions{Output: w, JSONFormat: true, Level: hclog.Info})
 	})
 
-	It("never blocks on a reader that stands still", func(ctx SpecContext) {
+	It("never blocks on a reader that stands still", func(_ SpecContext) {
 		for range 5000 {
 			logger.Info("routine")
 		}
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -146,7 +146,6 @@
 	n.duty = duty.New(n.store, s.Peer, n.incarnation, s.Bounds.OrderGap, n.contend, p.Logger)
 	n.desk = orderdesk.New(orderdesk.Parts{
 		Name:     s.Peer.Addr().String(),
-		Store:    n.store,
 		Duty:     n.duty,
 		Engines:  p.Engines,
 		Policy:   n.policy.Load,
--- a/internal/serving/orderdesk/adapter.go
+++ b/internal/serving/orderdesk/adapter.go
@@ -141,7 +141,6 @@
 		return false
 	}
 	e.orders++ // an adapter without requests is unloaded at once, which counts
-	e.inherited = false
 	e.dropped[victim] = now
 	return e.freePlaces(spec) > 0
 }
--- a/internal/serving/orderdesk/engine.go
+++ b/internal/serving/orderdesk/engine.go
@@ -5,9 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-json-experiment/json"
-	"github.com/pkg/errors"
-
 	"fireflypier.example/fireflypier/internal/serving/policy"
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
@@ -23,30 +20,11 @@
 	adapterUse = 2500 * time.Millisecond
 )
 
-// pending is an order that may still take effect.
-type pending struct {
-	// Operation, Model and Adapter say what was ordered.
-	Operation target.Operation `json:"operation"`
-	Model     string           `json:"model"`
-	Adapter   string           `json:"adapter,omitzero"`
-	// Expected is the number of accepted orders at which it takes effect.
-	Expected int64 `json:"expected"`
-	// Fence is that of its sender.
-	Fence int64 `json:"fence"`
-}
-
-// ledgerRow is the content of an engine's row: the last model load that was
-// ordered. It is written before the order.
-type ledgerRow struct {
-	// Born is the incarnation that the order was for.
-	Born    int64   `json:"born"`
-	Pending pending `json:"pending"`
-}
-
-func decodeLedger(data []byte) (ledgerRow, error) {
-	var r ledgerRow
-	err := json.Unmarshal(data, &r)
-	return r, errors.Wrap(err, "decode ledger row")
+// load is a model load that no report has shown yet.
+type load struct {
+	model string
+	// expected is the number of accepted orders at which it takes effect.
+	expected int64
 }
 
 // engine is the desk's account of one incarnation of an engine. mu is held
@@ -62,7 +40,7 @@
 	orders int64
 	// loading is an accepted or unanswered model load that no report has
 	// shown yet.
-	loading *pending
+	loading *load
 	// uncertain tells that loading was not answered.
 	uncertain bool
 	loadSent  time.Time
@@ -79,15 +57,11 @@
 	// unsure lists adapters whose loading was not answered, with the number of
 	// accepted orders at which it still takes effect.
 	unsure map[string]int64
-	// inherited tells that an order of a former holder may still take effect
-	// which is not in the ledger: the loading of one adapter.
-	inherited bool
 	// since tells since when models are held, used when adapters were asked
 	// for last.
 	since, used map[string]time.Time
-	// ledgerVersion is that of the engine's row in the store.
-	ledgerVersion int64
-	blockedUntil  time.Time
+	// blockedUntil is until when the engine gets no orders.
+	blockedUntil time.Time
 }
 
 func newEngine(t *target.Target) *engine {
@@ -165,12 +139,12 @@
 	if e.loading == nil {
 		return
 	}
-	if _, ok := r.Weights.Find(e.loading.Model); ok {
+	if _, ok := r.Weights.Find(e.loading.model); ok {
 		e.loading = nil
 		return
 	}
 	aged := now.Sub(e.loadSent) > 2*reportLag
-	if aged && r.Orders > e.loading.Expected && !r.Busy {
+	if aged && r.Orders > e.loading.expected && !r.Busy {
 		e.loading = nil
 	}
 }
@@ -217,11 +191,7 @@
 
 // freePlaces returns the adapters that may be loaded now.
 func (e *engine) freePlaces(spec *policy.Engine) int {
-	free := spec.AdapterSlots - len(e.adapters())
-	if e.inherited {
-		free--
-	}
-	return free
+	return spec.AdapterSlots - len(e.adapters())
 }
 
 // freeMB returns the memory that a new load may take.
@@ -237,8 +207,8 @@
 		free -= weightsMB(spec, e.report.Weights.Models[i].Model)
 	}
 	if e.loading != nil {
-		if _, ok := e.report.Weights.Find(e.loading.Model); !ok {
-			free -= weightsMB(spec, e.loading.Model)
+		if _, ok := e.report.Weights.Find(e.loading.model); !ok {
+			free -= weightsMB(spec, e.loading.model)
 		}
 	}
 	return free
--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -1,7 +1,11 @@
 // Package orderdesk gives orders to the engines of all pools while this VM
-// holds the order duty: it keeps an account of each engine's memory, writes
-// each model load into the store before it is sent, and brings adapters when
-// requests ask for them.
+// holds the order duty: it keeps an account of each engine's memory, moves
+// models, and brings adapters when requests ask for them.
+//
+// Every order names the number of orders that the engine must have accepted
+// before, as of the report that the order was decided by. So an order takes
+// effect only on the memory that it was decided for, however late it arrives
+// and whoever has sent others meanwhile.
 package orderdesk
 
 import (
@@ -11,7 +15,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-json-experiment/json"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
@@ -19,7 +22,6 @@
 	"fireflypier.example/fireflypier/internal/permit"
 	"fireflypier.example/fireflypier/internal/serving/duty"
 	"fireflypier.example/fireflypier/internal/serving/policy"
-	"fireflypier.example/fireflypier/internal/serving/rowstore"
 	"fireflypier.example/fireflypier/internal/serving/stocking"
 	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
@@ -41,9 +43,6 @@
 	// settleTime is the time without a new engine after which a term begins to
 	// place models: engines that are not known yet may hold them.
 	settleTime = 1500 * time.Millisecond
-	// storePause is the time without drops after the ledger could not be
-	// written; outages of the store last for seconds.
-	storePause = 2 * time.Second
 	// loadsAtOnce bounds the model loads under way; the weight store serves
 	// two at full speed on the smallest sites.
 	loadsAtOnce = 2
@@ -59,7 +58,6 @@
 type Parts struct {
 	// Name is what engines are told of the sender: the VM's address.
 	Name    string
-	Store   rowstore.Store
 	Duty    *duty.Duty
 	Engines Engines
 	// Policy is the configuration in force, Targets the live targets, Demand
@@ -86,11 +84,7 @@
 	// engines of this term are known.
 	newest  time.Time
 	settled bool
-	// noDrops is until when no model makes way, since the ledger could not
-	// be written.
-	noDrops time.Time
 	engines map[string]*engine
-	ledgers map[string]rowstore.Row
 	permits map[string]*permit.Permit
 	busy    map[string]bool
 }
@@ -114,7 +108,8 @@
 		case <-ctx.Done():
 			return
 		}
-		if term := d.Duty.Term(); term != nil && d.begin(ctx, term) {
+		if term := d.Duty.Term(); term != nil {
+			d.begin(term)
 			d.step(ctx, term, &wg)
 		}
 	}
@@ -123,33 +118,19 @@
 // Done is closed when Run has returned.
 func (d *Desk) Done() <-chan struct{} { return d.done }
 
-// begin starts the accounts anew in a new term: with the ledger first, and
-// with reports that are asked for after it was read.
-func (d *Desk) begin(ctx context.Context, term *duty.Term) bool {
-	d.mu.Lock()
-	same := d.fence == term.Fence
-	d.mu.Unlock()
-	if same {
-		return true
-	}
-	page, err := d.Store.List(ctx, rowstore.Ledgers)
-	if err != nil {
-		d.Logger.Warn("ledger not read, no orders yet", "fence", term.Fence, "error", err)
-		return false
-	}
+// begin starts the accounts anew in a new term.
+func (d *Desk) begin(term *duty.Term) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.fence == term.Fence {
+		return
+	}
 	d.fence, d.newest = term.Fence, d.Clock.Now()
 	d.settled = false
 	d.engines = make(map[string]*engine)
 	d.busy = make(map[string]bool)
 	d.permits = make(map[string]*permit.Permit)
-	d.ledgers = make(map[string]rowstore.Row, len(page.Rows))
-	for _, r := range page.Rows {
-		d.ledgers[r.Key] = r
-	}
-	d.Logger.Info("orders begin", "fence", term.Fence, "ledger_rows", len(page.Rows), "ledger_version", page.Version)
-	return true
+	d.Logger.Info("orders begin", "fence", term.Fence)
 }
 
 // step asks for the reports that are due, and begins the orders to give.
@@ -191,9 +172,7 @@
 		e := d.engines[t.ID]
 		if e == nil || e.target.Born != t.Born || e.target.Address != t.Address {
 			e = newEngine(t)
-			e.inherited = true
 			d.newest = d.Clock.Now()
-			d.inherit(e)
 			d.engines[t.ID] = e
 		}
 		live = append(live, e)
@@ -206,23 +185,6 @@
 	return live
 }
 
-// inherit takes over an order of a former term from the ledger.
-func (d *Desk) inherit(e *engine) {
-	row, ok := d.ledgers[e.target.ID]
-	if !ok {
-		return
-	}
-	e.ledgerVersion = row.Version
-	r, err := decodeLedger(row.Value)
-	if err != nil {
-		d.Logger.Error("ledger row cannot be read", "engine", e.target.ID, "version", row.Version, "error", err)
-		return
-	}
-	if r.Born == e.target.Born {
-		e.loading, e.uncertain, e.loadSent = &r.Pending, true, d.Clock.Now()
-	}
-}
-
 // spawn runs f unless something runs for the engine already.
 func (d *Desk) spawn(wg *conc.WaitGroup, e *engine, f func()) {
 	d.mu.Lock()
@@ -261,7 +223,7 @@
 		return
 	}
 	switch {
-	case e.loading != nil && e.uncertain && e.report.Orders == e.loading.Expected && now.Sub(e.loadSent) > resendAfter && e.ready(now):
+	case e.loading != nil && e.uncertain && e.report.Orders == e.loading.expected && now.Sub(e.loadSent) > resendAfter && e.ready(now):
 		d.sendLoad(ctx, term, e)
 	case e.dropping == "" && e.loading == nil && e.ready(now):
 		if len(e.leaving) == 0 && e.intended != "" {
@@ -315,7 +277,6 @@
 	switch outcome {
 	case target.Accepted:
 		e.orders++
-		e.inherited = false
 	case target.Refused, target.Invalid, target.Misdirected, target.Fenced, target.NotSent:
 		e.blockedUntil = d.Clock.Now().Add(refusedPause)
 	case target.Unanswered:
@@ -354,9 +315,6 @@
 		pm := d.permit(pool)
 		in.ColdLoads, in.Loads = pm.Available(in.Now, 0), max(0, loadsAtOnce-loading)
 		for _, a := range stocking.Next(in) {
-			if a.Drop && in.Now.Before(d.noDrops) {
-				continue // what makes way could not be replaced
-			}
 			d.begins(ctx, term, pool, a, live, pm, wg)
 		}
 	}
@@ -425,7 +383,7 @@
 		}
 	}
 	if e.loading != nil {
-		s.Models[e.loading.Model] = e.loadSent
+		s.Models[e.loading.model] = e.loadSent
 	}
 	if e.intended != "" {
 		s.Models[e.intended] = now
@@ -464,39 +422,20 @@
 	}
 }
 
-// load records a model load in the ledger and then orders it.
+// load orders a model load if the memory is free.
 func (d *Desk) load(ctx context.Context, term *duty.Term, spec *policy.Engine, e *engine, model string) {
 	if e.loading != nil || e.freeMB(spec) < weightsMB(spec, model) {
 		return
 	}
-	entry := pending{Operation: target.Load, Model: model, Expected: e.orders, Fence: term.Fence}
-	value, err := json.Marshal(&ledgerRow{Born: e.target.Born, Pending: entry})
-	if err != nil {
-		d.Logger.Error("ledger row not encoded", "engine", e.target.ID, "error", err)
-		return
-	}
-	result, err := d.Store.Write(ctx, rowstore.Write{Table: rowstore.Ledgers, Key: e.target.ID, Expect: e.ledgerVersion, Value: value})
-	if err != nil || !result.Applied {
-		d.Logger.Warn("load not recorded, not ordered", "engine", e.target.ID, "model", model, "applied", result.Applied, "error", err)
-		e.blockedUntil = d.Clock.Now().Add(refusedPause)
-		d.mu.Lock()
-		d.noDrops = d.Clock.Now().Add(storePause)
-		d.mu.Unlock()
-		for _, row := range result.Current {
-			e.ledgerVersion = row.Version // written by an earlier, unanswered call
-		}
-		return
-	}
-	e.ledgerVersion = result.Version
-	e.loading = &entry
+	e.loading = &load{model: model, expected: e.orders}
 	d.sendLoad(ctx, term, e)
 }
 
-// sendLoad orders the load that is in the ledger.
+// sendLoad sends the order of the load under way, at first or again.
 func (d *Desk) sendLoad(ctx context.Context, term *duty.Term, e *engine) {
-	e.orders = e.loading.Expected
+	e.orders = e.loading.expected
 	e.loadSent = d.Clock.Now()
-	switch d.order(ctx, term, e, target.Order{Operation: target.Load, Model: e.loading.Model}) {
+	switch d.order(ctx, term, e, target.Order{Operation: target.Load, Model: e.loading.model}) {
 	case target.Accepted:
 		e.uncertain = false
 	case target.Holds, target.Invalid, target.Misdirected:
--- a/internal/serving/rowstore/rowstore.go
+++ b/internal/serving/rowstore/rowstore.go
@@ -22,8 +22,6 @@
 	Members
 	// Duties tells which VM may give orders.
 	Duties
-	// Ledgers holds the orders that may still take effect, by engine.
-	Ledgers
 )
 
 // PolicyKey is the row of Policies that holds the configuration in force.
--- a/internal/serving/storerelay/storerelay_test.go
+++ b/internal/serving/storerelay/storerelay_test.go
@@ -38,7 +38,7 @@
 
 var _ = Describe("a relayed store", func() {
 	var (
-		real    *storestandin.Store
+		store   *storestandin.Store
 		relayed int
 		reached bool
 	)
@@ -55,13 +55,13 @@
 				if !reached {
 					return nil, errors.New("not reached")
 				}
-				return storerelay.Serve(ctx, real, c)
+				return storerelay.Serve(ctx, store, c)
 			},
 			Logger: hclog.NewNullLogger(),
 		})
 	}
 	BeforeEach(func() {
-		real = storestandin.New(clockwork.NewFakeClock())
+		store = storestandin.New(clockwork.NewFakeClock())
 		relayed, reached = 0, true
 	})
 
@@ -102,11 +102,11 @@
 	})
 
 	It("passes the failures of the peer's own call on", func() {
-		real.Fail(storestandin.Lost)
+		store.Fail(storestandin.Lost)
 		s := relay(rowstore.ErrRefused, false)
 		_, err := s.Write(ctx, write)
 		Expect(err).To(MatchError(rowstore.ErrUnanswered))
-		real.Fail(storestandin.Refused)
+		store.Fail(storestandin.Refused)
 		_, err = s.List(ctx, rowstore.Duties)
 		Expect(err).To(MatchError(rowstore.ErrRefused))
 	})
