Explain a request from the logs; tell of every answer

fireflypier explain puts the lines of one request id in order; each answered request has a line with its target and the time until its first event.

--- /dev/null
+++ b/cmd/fireflypier/explain.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/serving/story"
+)
+
+type explainCommand struct {
+	Args struct {
+		Request string           `positional-arg-name:"REQUEST-ID"`
+		Files   []flags.Filename `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute prints what the logs tell of one request.
+func (c *explainCommand) Execute([]string) error {
+	s := story.New(c.Args.Request)
+	for _, name := range c.Args.Files {
+		if err := readLog(s, string(name)); err != nil {
+			return failure.Wrap(failure.NotFound, err, "%v", err)
+		}
+	}
+	if len(s.Lines()) == 0 {
+		return failure.New(failure.NotFound, "no line names the request %s", c.Args.Request)
+	}
+	return s.Print(os.Stdout)
+}
+
+func readLog(s *story.Story, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return s.Read(f)
+}
--- a/cmd/fireflypier/main.go
+++ b/cmd/fireflypier/main.go
@@ -38,8 +38,9 @@
 		{"get", "Show objects", "Show the objects in force.", &getCommand{}},
 		{"status", "Show the status", "Show the status of the pools and members that a controller knows.", &statusCommand{}},
 		{"dump", "Show a process's state", "Show the state of the process whose admin address is given.", &dumpCommand{}},
+		{"explain", "Explain a request", "Show in order of time what the logs of any number of VMs tell of one request id.", &explainCommand{}},
 		{"load", "Put load on gateways", "Run a workload against gateways as callers do, and show what the callers saw; or compare results.", &loadCommand{}},
-		{"settings", "Check settings", "Check a settings file of a gateway or a controller.", &settingsCommand{}},
+		{"settings", "Check settings", "Check a settings file of a gateway, a controller, or a node of the users' platform.", &settingsCommand{}},
 		{"version", "Show the version", "Show the version of the program.", &versionCommand{}},
 	}
 }
--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -34,7 +34,7 @@
 	path := os.Getenv(platform.SettingsVariable)
 	cfg, err := platform.ReadSettings(path)
 	if err != nil {
-		return failure.Wrap(failure.InvalidObjects, err, "%v", err)
+		return failure.Wrap(failure.InvalidObjects, err, "settings refused")
 	}
 	lines := decisionlog.NewWriter(os.Stdout, clockwork.NewRealClock())
 	defer func() { _ = lines.Close() }()
--- a/cmd/fireflypier/serve.go
+++ b/cmd/fireflypier/serve.go
@@ -13,6 +13,7 @@
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/gateway"
 	"fireflypier.example/fireflypier/internal/settings"
+	"fireflypier.example/fireflypier/platform"
 )
 
 type gatewayCommand struct {
@@ -24,7 +25,7 @@
 }
 
 type settingsCommand struct {
-	Role string `long:"role" description:"what the settings are for" choice:"gateway" choice:"controller" required:"true"`
+	Role string `long:"role" description:"what the settings are for" choice:"gateway" choice:"controller" choice:"node" required:"true"`
 	Args struct {
 		File flags.Filename `positional-arg-name:"FILE"`
 	} `positional-args:"true" required:"true"`
@@ -63,10 +64,15 @@
 // Execute checks a settings file.
 func (c *settingsCommand) Execute([]string) error {
 	var err error
-	if c.Role == "gateway" {
+	switch c.Role {
+	case "gateway":
 		_, err = settings.ReadGateway(string(c.Args.File))
-	} else {
+	case "controller":
 		_, err = settings.ReadController(string(c.Args.File))
+	default:
+		if _, err = platform.ReadSettings(string(c.Args.File)); err != nil {
+			err = failure.Wrap(failure.InvalidObjects, err, "settings refused")
+		}
 	}
 	return err
 }
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -178,6 +178,7 @@
 		return j.sendFailed(ctx, ticket, c.Target.ID, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	j.target, j.status = c.Target.ID, answer.Status
 	v, err := j.take(answer, ticket)
 	ticket.End(v == mayHaveRun && ctx.Err() == nil, f.Clock.Now())
 	f.Metrics.sent(verdictName(v, err))
@@ -242,7 +243,7 @@
 	if answer.Status < http.StatusMultipleChoices && !answer.Signed {
 		return mayHaveRun, errors.New("the answer has no signature")
 	}
-	ticket.Started(j.f.Clock.Now())
+	j.started(ticket)
 	if answer.Status >= http.StatusInternalServerError && j.route.Repeatable() && j.mayTryElsewhere() {
 		return mayHaveRun, errors.Errorf("the target answered %d", answer.Status)
 	}
@@ -264,6 +265,15 @@
 	return done, nil
 }
 
+// started notes the first event or the whole answer.
+func (j *job) started(ticket *fleetview.Ticket) {
+	now := j.f.Clock.Now()
+	ticket.Started(now)
+	if j.first == 0 {
+		j.first = now.Sub(j.r.Arrival)
+	}
+}
+
 // mayTryElsewhere reports whether a failure that could be passed on should be
 // tried at another target instead.
 func (j *job) mayTryElsewhere() bool {
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -133,6 +133,11 @@
 	// answering tells that the head of an answer was written.
 	answering bool
 	stream    *stream
+	// target and status are those of the answer, first is the time until its
+	// first event.
+	target string
+	status int
+	first  time.Duration
 }
 
 // Serve answers a request on w, or returns the failure to be told.
@@ -275,23 +280,22 @@
 // finish records the end of a request.
 func (f *Forward) finish(r *exchange.Request, j *job, err error) {
 	now := f.Clock.Now()
-	route, kind := "", ""
-	if j != nil {
-		route, kind = j.route.Name, j.route.Kind.String()
+	if j == nil {
+		j = &job{f: f, r: r, route: &policy.Route{}}
 	}
 	outcome := "answered"
 	if err != nil {
 		outcome = failure.From(err).Kind.String()
 	}
-	f.Metrics.finished(kind, outcome, now.Sub(r.Arrival))
+	took := now.Sub(r.Arrival)
+	f.Metrics.finished(j.route.Kind.String(), outcome, took)
 	if err != nil {
-		sends := 0
-		if j != nil {
-			sends = j.sends
-		}
-		f.Logger.Warn("request failed", "request", r.ID, "route", route, "outcome", outcome, "error", err,
-			"sends", sends, "took_ms", now.Sub(r.Arrival).Milliseconds())
+		f.Logger.Warn("request failed", "request", r.ID, "route", j.route.Name, "outcome", outcome, "error", err,
+			"sends", j.sends, "took_ms", took.Milliseconds())
+		return
 	}
+	f.Logger.Info("request answered", "request", r.ID, "route", j.route.Name, "target", j.target, "status", j.status,
+		"sends", j.sends, "first_ms", j.first.Milliseconds(), "took_ms", took.Milliseconds())
 }
 
 var errCallerLeft = errors.New("the caller has left")
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -60,7 +60,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			ticket.Started(j.f.Clock.Now())
+			j.started(ticket)
 			j.begin(answer)
 			if werr := s.take(buffer[:n]); werr != nil {
 				return j.streamFailed(werr)
--- /dev/null
+++ b/internal/serving/story/story.go
@@ -0,0 +1,114 @@
+// Package story puts the log lines of one request, from any number of VMs, in
+// the order of time.
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/pkg/errors"
+)
+
+// maxLine bounds a log line; a line of a node is below 1 KB.
+const maxLine = 1 << 20
+
+// Line is one decision.
+type Line struct {
+	// At is when it was made, VM where.
+	At time.Time
+	VM string
+	// Level and Message are the logger's, Fields the inputs and the outcome.
+	Level, Message string
+	Fields         map[string]jsontext.Value
+}
+
+// Story is what happened to one request.
+type Story struct {
+	id    string
+	lines []Line
+}
+
+// New returns the empty story of a request id.
+func New(id string) *Story { return &Story{id: id} }
+
+// Read adds the request's lines of a log. Lines that are not JSON are left
+// out; a prefix before the JSON is skipped.
+func (s *Story) Read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || !bytes.Contains(text, []byte(s.id)) {
+			continue
+		}
+		if line, ok := s.decode(text[start:]); ok {
+			s.lines = append(s.lines, line)
+		}
+	}
+	return errors.Wrap(scanner.Err(), "read log")
+}
+
+func (s *Story) decode(text []byte) (Line, bool) {
+	fields := make(map[string]jsontext.Value)
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return Line{}, false
+	}
+	if unquote(fields["request"]) != s.id {
+		return Line{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, unquote(fields["@timestamp"]))
+	if err != nil {
+		return Line{}, false
+	}
+	line := Line{At: at, VM: unquote(fields["@module"]), Level: unquote(fields["@level"]), Message: unquote(fields["@message"]), Fields: fields}
+	for name := range fields {
+		if strings.HasPrefix(name, "@") || name == "request" {
+			delete(fields, name)
+		}
+	}
+	return line, true
+}
+
+func unquote(v jsontext.Value) string {
+	var text string
+	if len(v) == 0 || json.Unmarshal(v, &text) != nil {
+		return ""
+	}
+	return text
+}
+
+// Lines returns the lines in the order of time.
+func (s *Story) Lines() []Line {
+	sort.SliceStable(s.lines, func(i, j int) bool { return s.lines[i].At.Before(s.lines[j].At) })
+	return s.lines
+}
+
+// Print writes the story, a line for each decision.
+func (s *Story) Print(w io.Writer) error {
+	lines := s.Lines()
+	for _, line := range lines {
+		names := make([]string, 0, len(line.Fields))
+		for name := range line.Fields {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		var text strings.Builder
+		for _, name := range names {
+			fmt.Fprintf(&text, " %s=%s", name, line.Fields[name])
+		}
+		_, err := fmt.Fprintf(w, "%s +%dms %s: %s%s\n", line.At.Format("15:04:05.000"),
+			line.At.Sub(lines[0].At).Milliseconds(), line.VM, line.Message, text.String())
+		if err != nil {
+			return errors.Wrap(err, "write story")
+		}
+	}
+	return nil
+}
