--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -33,7 +33,7 @@
 	// reportInterval is the time between two reports of a quiet engine,
 	// activeInterval that while orders are under way. Reports are priced.
 	reportInterval = 1500 * time.Millisecond
-	activeInterval = 250 * time.Millisecond
+	activeInterval = 150 * time.Millisecond
 	// refusedPause is the time without orders after an engine refused one:
 	// its next report shows why.
 	refusedPause = 500 * time.Millisecond
@@ -43,9 +43,8 @@
 	// settleTime is the time without a new engine after which a term begins to
 	// place models: engines that are not known yet may hold them.
 	settleTime = 1500 * time.Millisecond
-	// loadsAtOnce bounds the model loads under way; the weight store serves
-	// two at full speed on the smallest sites.
-	loadsAtOnce = 2
+	// leastAtOnce is the number of model loads that may always be under way.
+	leastAtOnce = 2
 )
 
 // Engines sends orders; platform.Targets implements it.
@@ -313,13 +312,24 @@
 			continue
 		}
 		pm := d.permit(pool)
-		in.ColdLoads, in.Loads = pm.Available(in.Now, 0), max(0, loadsAtOnce-loading)
+		in.ColdLoads, in.Loads = pm.Available(in.Now, 0), max(0, loadsAtOnce(pool.Engine)-loading)
 		for _, a := range stocking.Next(in) {
 			d.begins(ctx, term, pool, a, live, pm, wg)
 		}
 	}
 }
 
+// loadsAtOnce returns the model loads that may be under way: as many as the
+// weight store begins while the slowest of them lasts. More would only slow
+// each other down.
+func loadsAtOnce(spec *policy.Engine) int {
+	slowest := time.Duration(0)
+	for i := range spec.Models {
+		slowest = max(slowest, spec.Models[i].ColdLoad)
+	}
+	return max(leastAtOnce, int(spec.LoadsPerSecond*slowest.Seconds()))
+}
+
 func (d *Desk) permit(pool *policy.Pool) *permit.Permit {
 	d.mu.Lock()
 	defer d.mu.Unlock()
