--- a/internal/serving/stocking/stocking.go
+++ b/internal/serving/stocking/stocking.go
@@ -16,7 +16,7 @@
 	replicaTokens = 1500.0
 	// moveGain is how many times more work a replica must get by a move than
 	// the replica that makes way for it had.
-	moveGain = 1.4
+	moveGain = 2.0
 	// freshFor is how long a new replica stays before it may make way for
 	// another model's demand; it covers the time in which demand settles.
 	freshFor = 4 * time.Second
