--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -56,10 +56,16 @@
 
 	mu      sync.Mutex // guards Rates and Retries
 	running sync.WaitGroup
+	// known is closed once a configuration is in force.
+	known     chan struct{}
+	knownOnce sync.Once
 }
 
 // New returns a forward.
-func New(p Parts) *Forward { return &Forward{Parts: p} }
+func New(p Parts) *Forward { return &Forward{Parts: p, known: make(chan struct{})} }
+
+// PolicyKnown tells that a configuration is in force.
+func (f *Forward) PolicyKnown() { f.knownOnce.Do(func() { close(f.known) }) }
 
 const (
 	// maxSends bounds the sends of one request, those that were turned away
@@ -72,8 +78,11 @@
 	// waitShare is the part of a caller's time in which its request may wait
 	// for weights; beyond it an early refusal serves the caller better.
 	waitShare = 0.4
-	// policyRetry is when to come back to a VM that has no configuration yet.
-	policyRetry = 500 * time.Millisecond
+	// policyWait is how long a request waits at a VM that has no
+	// configuration yet; callers of today's streams leave after two seconds.
+	policyWait = 800 * time.Millisecond
+	// policyRetry is when to come back to such a VM.
+	policyRetry = time.Second
 	// loadRetry is when to come back for weights that are being loaded, and
 	// busyRetry for a place at a busy target.
 	loadRetry = time.Second
@@ -144,6 +153,7 @@
 func (f *Forward) Serve(w http.ResponseWriter, hr *http.Request, r *exchange.Request) error {
 	f.running.Add(1)
 	defer f.running.Done()
+	f.awaitPolicy(hr.Context())
 	j, err := f.admit(w, r)
 	if err == nil {
 		ctx, cancel := context.WithDeadline(hr.Context(), j.deadline)
@@ -157,6 +167,18 @@
 	return err
 }
 
+// awaitPolicy waits a little for the first configuration.
+func (f *Forward) awaitPolicy(ctx context.Context) {
+	if f.Policy() != nil {
+		return
+	}
+	select {
+	case <-f.known:
+	case <-f.Clock.After(policyWait):
+	case <-ctx.Done():
+	}
+}
+
 // admit finds the route and the customer, and charges the customer's rate.
 func (f *Forward) admit(w http.ResponseWriter, r *exchange.Request) (*job, error) {
 	p := f.Policy()
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -48,6 +48,7 @@
 			continue
 		}
 		n.policy.Store(p)
+		n.forward.PolicyKnown()
 		n.Logger.Info("configuration in force", "version", p.Version, "row_version", r.Version,
 			"routes", len(p.Routes), "pools", len(p.Pools), "customers", len(p.Customers))
 		n.spread()
--- a/internal/serving/orderdesk/adapter.go
+++ b/internal/serving/orderdesk/adapter.go
@@ -88,7 +88,7 @@
 	// Placing an adapter where others must make way costs as much as some
 	// requests ahead.
 	const fullCost, perTaken = 12.0, 1.0
-	if !e.ready(now) || e.dropping == model {
+	if !e.ready(now) || (e.dropping != nil && e.dropping.model == model) {
 		return 0, false
 	}
 	if _, held := e.report.Weights.Find(model); !held {
--- a/internal/serving/orderdesk/engine.go
+++ b/internal/serving/orderdesk/engine.go
@@ -20,11 +20,21 @@
 	adapterUse = 2500 * time.Millisecond
 )
 
-// load is a model load that no report has shown yet.
-type load struct {
+// move is a model's load or unload that no report has shown yet.
+type move struct {
 	model string
 	// expected is the number of accepted orders at which it takes effect.
 	expected int64
+	sent     time.Time
+	// uncertain tells that the order was not answered.
+	uncertain bool
+}
+
+// lost reports whether an order that was not answered shows no effect, so
+// that it should be sent again: whichever copy is accepted first makes the
+// others void.
+func (m *move) lost(r *target.Report, now time.Time) bool {
+	return m.uncertain && r.Orders == m.expected && now.Sub(m.sent) > resendAfter
 }
 
 // engine is the desk's account of one incarnation of an engine. mu is held
@@ -38,19 +48,12 @@
 	// orders is the number of orders that the engine has accepted, by its
 	// report and by the answers since.
 	orders int64
-	// loading is an accepted or unanswered model load that no report has
-	// shown yet.
-	loading *load
-	// uncertain tells that loading was not answered.
-	uncertain bool
-	loadSent  time.Time
+	// loading and dropping are the moves under way; nil for none.
+	loading, dropping *move
 	// leaving lists models that are told to leave, with the time since when;
-	// dropping is the one whose unloading was ordered.
 	// intended is the model that they make way for.
 	leaving  map[string]time.Time
 	intended string
-	dropping string
-	dropSent time.Time
 	// issued lists adapters that were ordered and not reported yet, dropped
 	// those that were unloaded and may still be reported.
 	issued, dropped map[string]time.Time
@@ -116,9 +119,11 @@
 }
 
 func (e *engine) lastOrder() time.Time {
-	last := e.loadSent
-	if e.dropSent.After(last) {
-		last = e.dropSent
+	var last time.Time
+	for _, m := range []*move{e.loading, e.dropping} {
+		if m != nil && m.sent.After(last) {
+			last = m.sent
+		}
 	}
 	for _, at := range e.issued {
 		if at.After(last) {
@@ -143,21 +148,24 @@
 		e.loading = nil
 		return
 	}
-	aged := now.Sub(e.loadSent) > 2*reportLag
+	aged := now.Sub(e.loading.sent) > 2*reportLag
 	if aged && r.Orders > e.loading.expected && !r.Busy {
 		e.loading = nil
 	}
 }
 
+// settleDrop ends an unload that a report has shown to be complete, or void.
 func (e *engine) settleDrop(r *target.Report, now time.Time) {
-	if e.dropping == "" {
+	if e.dropping == nil {
 		return
 	}
-	_, held := r.Weights.Find(e.dropping)
-	aged := now.Sub(e.dropSent) > 2*reportLag
-	if !held && now.Sub(e.dropSent) > reportLag || aged && held && !r.Busy {
-		delete(e.leaving, e.dropping)
-		e.dropping = ""
+	_, held := r.Weights.Find(e.dropping.model)
+	age := now.Sub(e.dropping.sent)
+	gone := !held && age > reportLag
+	void := held && age > 2*reportLag && r.Orders > e.dropping.expected && !r.Busy
+	if gone || void {
+		delete(e.leaving, e.dropping.model)
+		e.dropping = nil
 	}
 }
 
--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -208,7 +208,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	interval := reportInterval
-	if e.loading != nil || e.dropping != "" || len(e.leaving) > 0 || e.report == nil || e.report.Busy {
+	if e.loading != nil || e.dropping != nil || len(e.leaving) > 0 || e.report == nil || e.report.Busy {
 		interval = activeInterval
 	}
 	if now.Sub(e.asked) >= interval {
@@ -222,9 +222,12 @@
 		return
 	}
 	switch {
-	case e.loading != nil && e.uncertain && e.report.Orders == e.loading.expected && now.Sub(e.loadSent) > resendAfter && e.ready(now):
+	case e.loading != nil && e.loading.lost(e.report, now) && e.ready(now):
 		d.sendLoad(ctx, term, e)
-	case e.dropping == "" && e.loading == nil && e.ready(now):
+	case e.dropping != nil && e.dropping.lost(e.report, now) && e.ready(now):
+		e.orders = e.dropping.expected
+		d.sendDrop(ctx, term, e, e.dropping.model)
+	case e.dropping == nil && e.loading == nil && e.ready(now):
 		if len(e.leaving) == 0 && e.intended != "" {
 			d.loadIntended(ctx, term, pool, e, now)
 			return
@@ -291,14 +294,25 @@
 		if now.Sub(since) < leaveNotice {
 			continue
 		}
-		outcome := d.order(ctx, term, e, target.Order{Operation: target.Unload, Model: m})
-		if outcome == target.Accepted || outcome == target.Holds || outcome == target.Unanswered {
-			e.dropping, e.dropSent = m, d.Clock.Now()
-		}
+		d.sendDrop(ctx, term, e, m)
 		return
 	}
 }
 
+// sendDrop sends the order of an unload, at first or again.
+func (d *Desk) sendDrop(ctx context.Context, term *duty.Term, e *engine, model string) {
+	m := &move{model: model, expected: e.orders, sent: d.Clock.Now()}
+	switch d.order(ctx, term, e, target.Order{Operation: target.Unload, Model: model}) {
+	case target.Accepted, target.Holds:
+		e.dropping = m
+	case target.Unanswered:
+		m.uncertain = true
+		e.dropping = m
+	case target.Refused, target.Fenced, target.Misdirected, target.Invalid, target.NotSent:
+		// Tried again after the pause, with the next report.
+	}
+}
+
 // plan decides what models to move, and begins it.
 func (d *Desk) plan(ctx context.Context, term *duty.Term, p *policy.Policy, live []*engine, wg *conc.WaitGroup) {
 	demand := d.Demand()
@@ -380,7 +394,7 @@
 		Models:   make(map[string]time.Time),
 		Serving:  make(map[string]bool),
 		FreeMB:   e.freeMB(spec),
-		Idle:     e.ready(now) && e.loading == nil && e.dropping == "" && len(e.leaving) == 0 && e.intended == "",
+		Idle:     e.ready(now) && e.loading == nil && e.dropping == nil && len(e.leaving) == 0 && e.intended == "",
 		InMemory: set(e.report.Weights.InMemory),
 		OnDisk:   set(e.report.Weights.OnDisk),
 		Requests: d.Requests(e.target.ID),
@@ -393,7 +407,7 @@
 		}
 	}
 	if e.loading != nil {
-		s.Models[e.loading.model] = e.loadSent
+		s.Models[e.loading.model] = e.loading.sent
 	}
 	if e.intended != "" {
 		s.Models[e.intended] = now
@@ -437,24 +451,24 @@
 	if e.loading != nil || e.freeMB(spec) < weightsMB(spec, model) {
 		return
 	}
-	e.loading = &load{model: model, expected: e.orders}
+	e.loading = &move{model: model, expected: e.orders}
 	d.sendLoad(ctx, term, e)
 }
 
 // sendLoad sends the order of the load under way, at first or again.
 func (d *Desk) sendLoad(ctx context.Context, term *duty.Term, e *engine) {
 	e.orders = e.loading.expected
-	e.loadSent = d.Clock.Now()
+	e.loading.sent = d.Clock.Now()
 	switch d.order(ctx, term, e, target.Order{Operation: target.Load, Model: e.loading.model}) {
 	case target.Accepted:
-		e.uncertain = false
+		e.loading.uncertain = false
 	case target.Holds, target.Invalid, target.Misdirected:
 		e.loading = nil
 	case target.Unanswered:
-		e.uncertain = true
+		e.loading.uncertain = true
 	case target.Refused, target.Fenced, target.NotSent:
 		// An earlier copy may have been accepted; reports will tell.
-		if !e.uncertain {
+		if !e.loading.uncertain {
 			e.loading = nil
 		}
 	}
--- a/internal/serving/orderdesk/orderdesk_test.go
+++ b/internal/serving/orderdesk/orderdesk_test.go
@@ -67,6 +67,7 @@
 	// lost is the share of orders that are not answered and carried out late.
 	lost float64
 	sent []*target.Order
+	to   []string
 }
 
 func newFleet(clock clockwork.Clock, n int, seed uint64) *fleetSim {
@@ -110,7 +111,7 @@
 func (f *fleetSim) Order(_ context.Context, to *target.Target, o *target.Order) (target.Outcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sent = append(f.sent, o)
+	f.sent, f.to = append(f.sent, o), append(f.to, to.ID)
 	if f.rng.Float64() < f.lost {
 		late := time.Duration(200+f.rng.IntN(3000)) * time.Millisecond
 		f.after(late, func() { f.carryOut(f.engines[to.Address], o) })
@@ -169,6 +170,13 @@
 	return n
 }
 
+func (f *fleetSim) holds(id, model string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.engines[netip.MustParseAddrPort(id)].models[model]
+	return ok
+}
+
 func (f *fleetSim) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -194,6 +202,16 @@
 
 	mu     sync.Mutex
 	demand map[weightsdemand.Key]weightsdemand.Level
+	held   map[string][]target.Held
+}
+
+// offers reports whether other VMs are told that an engine holds a model.
+func (h *holder) offers(id, model string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := target.Weights{Models: h.held[id]}
+	_, ok := w.Find(model)
+	return ok
 }
 
 func (h *holder) setDemand(model string, tokens float64) {
@@ -216,7 +234,7 @@
 		p = (&policy.Policy{Pools: []policy.Pool{pool}}).Index()
 	})
 	begin := func(fleet *fleetSim, vm byte) *holder {
-		h := &holder{}
+		h := &holder{held: make(map[string][]target.Held)}
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, vm}), 7600)
 		boot := func() time.Duration { return clock.Since(start) }
 		h.duty = duty.New(store, addr, 1, 3*time.Second, func() (bool, int) { return true, 0 }, hclog.NewNullLogger(), duty.WithClocks(clock, boot))
@@ -230,8 +248,12 @@
 				return h.demand
 			},
 			Requests: func(string) int { return 0 },
-			Held:     func(string, int64, []target.Held) {},
-			Clock:    clock, Logger: hclog.NewNullLogger(),
+			Held: func(id string, _ int64, held []target.Held) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.held[id] = held
+			},
+			Clock: clock, Logger: hclog.NewNullLogger(),
 		})
 		var ctx context.Context
 		ctx, h.stop = context.WithCancel(context.Background())
@@ -315,6 +337,35 @@
 		Expect(fleet.crashed()).To(BeEmpty())
 	})
 
+	It("offers a model no more once its unload was sent, answered or not", func() {
+		fleet := newFleet(clock, 3, 1)
+		h := begin(fleet, 1)
+		h.setDemand("m1", 100_000)
+		pass(15 * time.Second)
+		fleet.mu.Lock()
+		fleet.lost = 1
+		fleet.mu.Unlock()
+		h.setDemand("m2", 100_000)
+		dropped := func() (id, model string) {
+			fleet.mu.Lock()
+			defer fleet.mu.Unlock()
+			for i, o := range fleet.sent {
+				if o.Operation == target.Unload && o.Adapter == "" {
+					return fleet.to[i], o.Model
+				}
+			}
+			return "", ""
+		}
+		gone := false
+		for i := 0; i < 800 && !gone; i++ {
+			pass(25 * time.Millisecond)
+			id, model := dropped()
+			gone = id != "" && !fleet.holds(id, model)
+			Expect(id != "" && !gone && h.offers(id, model)).To(BeFalse(), "%s at %s", model, id)
+		}
+		Expect(gone).To(BeTrue())
+	})
+
 	It("never overfills an engine while orders are lost and carried out late, over changes of the holder", func() {
 		for seed := uint64(1); seed <= 6; seed++ {
 			store = storestandin.New(clock)
