Leave a silent target before the caller leaves

An attempt that may be repeated now ends after its objective or three times the expected time and 250 ms, if another target can take the request.

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -173,6 +173,7 @@
 	ticket := f.View.Begin(&c, &j.want, now)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	j.watch(&c, left, cancel)
 	answer, err := f.Sender.Send(attemptCtx, j.r, a)
 	if err != nil {
 		return j.sendFailed(ctx, ticket, c.Target.ID, err)
@@ -189,6 +190,19 @@
 	return v, err
 }
 
+// watch ends an attempt whose target stays silent, if another target may run
+// the request then.
+func (j *job) watch(c *fleetview.Choice, left time.Duration, end context.CancelFunc) {
+	j.silence = nil
+	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts || c.Candidates < 2 {
+		return
+	}
+	wait := max(j.route.Objective, silenceFactor*c.Expected) + silenceSlack
+	if wait < left {
+		j.silence = time.AfterFunc(wait, end)
+	}
+}
+
 func verdictName(v verdict, err error) string {
 	switch {
 	case v == notRun:
@@ -267,6 +281,9 @@
 
 // started notes the first event or the whole answer.
 func (j *job) started(ticket *fleetview.Ticket) {
+	if j.silence != nil {
+		j.silence.Stop()
+	}
 	now := j.f.Clock.Now()
 	ticket.Started(now)
 	if j.first == 0 {
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -78,6 +78,12 @@
 	// waitShare is the part of a caller's time in which its request may wait
 	// for weights; beyond it an early refusal serves the caller better.
 	waitShare = 0.4
+	// silenceFactor and silenceSlack bound the wait for the first sign of an
+	// answer that may be had elsewhere, by the time that was expected; a
+	// target that has crashed without a word is noticed by it before callers
+	// leave.
+	silenceFactor = 3
+	silenceSlack  = 250 * time.Millisecond
 	// policyWait is how long a request waits at a VM that has no
 	// configuration yet; callers of today's streams leave after two seconds.
 	policyWait = 800 * time.Millisecond
@@ -142,6 +148,8 @@
 	// answering tells that the head of an answer was written.
 	answering bool
 	stream    *stream
+	// silence ends an attempt that shows no sign of an answer.
+	silence *time.Timer
 	// target and status are those of the answer, first is the time until its
 	// first event.
 	target string
--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -269,6 +269,18 @@
 		Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond))
 	})
 
+	It("that may be repeated goes on elsewhere when its target is silent, others do not", func() {
+		sender.replies = []reply{{hang: true}}
+		w, _, err := ask("/look/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Body.String()).To(Equal("answer"))
+		Expect(sender.attempts).To(HaveLen(2))
+		sender.replies = []reply{{hang: true}}
+		_, _, err = ask("/buy/1")
+		Expect(kind(err)).To(Equal(failure.OutcomeUnknown))
+		Expect(sender.attempts).To(HaveLen(3))
+	})
+
 	It("streams whole events", func() {
 		sender.replies = []reply{{status: 200, body: events("1", "2", "3")}}
 		w, _, err := ask("/draft/1")
--- a/internal/serving/orderdesk/orderdesk_test.go
+++ b/internal/serving/orderdesk/orderdesk_test.go
@@ -214,10 +214,11 @@
 	return ok
 }
 
-func (h *holder) setDemand(model string, tokens float64) {
+// setDemand makes callers ask for one model only.
+func (h *holder) setDemand(model string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.demand = map[weightsdemand.Key]weightsdemand.Level{{Pool: "engines", Model: model}: {TokensPerSecond: tokens}}
+	h.demand = map[weightsdemand.Key]weightsdemand.Level{{Pool: "engines", Model: model}: {TokensPerSecond: 100_000}}
 }
 
 var _ = Describe("an order desk", func() {
@@ -287,7 +288,7 @@
 		fleet := newFleet(clock, 3, 1)
 		h := begin(fleet, 1)
 		pass(12 * time.Second)
-		h.setDemand("m2", 100_000)
+		h.setDemand("m2")
 		pass(20 * time.Second)
 		Expect(fleet.replicas("m2")).To(BeNumerically(">=", 2))
 		for _, m := range pool.Engine.Models {
@@ -303,7 +304,7 @@
 		store.Fail(storestandin.Refused)
 		pass(3 * time.Second)
 		before := fleet.count()
-		h.setDemand("m2", 100_000)
+		h.setDemand("m2")
 		Expect(h.desk.Bring(context.Background(), "engines", "m1", "a1")).To(BeEmpty())
 		pass(8 * time.Second)
 		Expect(fleet.count()).To(Equal(before))
@@ -340,12 +341,12 @@
 	It("offers a model no more once its unload was sent, answered or not", func() {
 		fleet := newFleet(clock, 3, 1)
 		h := begin(fleet, 1)
-		h.setDemand("m1", 100_000)
+		h.setDemand("m1")
 		pass(15 * time.Second)
 		fleet.mu.Lock()
 		fleet.lost = 1
 		fleet.mu.Unlock()
-		h.setDemand("m2", 100_000)
+		h.setDemand("m2")
 		dropped := func() (id, model string) {
 			fleet.mu.Lock()
 			defer fleet.mu.Unlock()
@@ -374,7 +375,7 @@
 			for vm := byte(1); vm <= 3; vm++ {
 				h := begin(fleet, vm)
 				for i := range 6 {
-					h.setDemand(pool.Engine.Models[(int(seed)+i)%4].Name, 100_000)
+					h.setDemand(pool.Engine.Models[(int(seed)+i)%4].Name)
 					ctx, cancel := context.WithCancel(context.Background())
 					for a := range 4 {
 						go h.desk.Bring(ctx, "engines", "m1", "a"+string(rune('1'+(a+i)%9)))
