--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -26,6 +26,10 @@
 // peak costs more on the platform than the processor time of collecting.
 const heapGrowth = 60
 
+// memoryShare is the part of the process's memory limit at which the garbage
+// collector works harder; above the limit the platform kills the process.
+const memoryShare = 0.75
+
 type nodeCommand struct{}
 
 // Execute runs a node on the users' platform until SIGTERM or SIGINT.
@@ -36,6 +40,7 @@
 	if err != nil {
 		return failure.Wrap(failure.InvalidObjects, err, "settings refused")
 	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
 	lines := decisionlog.NewWriter(os.Stdout, clockwork.NewRealClock())
 	defer func() { _ = lines.Close() }()
 	logger := hclog.New(&hclog.LoggerOptions{Name: cfg.Name, Level: hclog.Info, JSONFormat: true, Output: lines})
--- a/internal/serving/machine/machine.go
+++ b/internal/serving/machine/machine.go
@@ -13,8 +13,6 @@
 	Name       string
 	IP         netip.Addr
 	DataCentre string
-	// DataCentres lists all data centres of the site.
-	DataCentres []string
 	// Front takes callers' requests, Ready the platform's health checks and
 	// Directory the callers' questions for addresses.
 	Front, Ready, Directory netip.AddrPort
@@ -25,23 +23,16 @@
 	Seeds []netip.AddrPort
 	// Store is the address of the platform's store.
 	Store netip.AddrPort
-	// MemoryBytes and Descriptors limit the process.
+	// MemoryBytes limits the process.
 	MemoryBytes int64
-	Descriptors int
-	// HeartbeatInterval is how often targets renew their rows.
-	HeartbeatInterval time.Duration
 	// Bounds are the figures that the operators hold the system to.
 	Bounds Bounds
 }
 
 // Bounds are the operators' figures.
 type Bounds struct {
-	// DrainNotice is how long a leaving target still serves.
-	DrainNotice time.Duration
 	// Grace is the time from SIGTERM to the kill.
 	Grace time.Duration
-	// PolicyDelay bounds the time until a new configuration is in force.
-	PolicyDelay time.Duration
 	// RetryRatio, RetryWindow and RetrySlack bound repeated sends: a share of
 	// the requests of a pool in a window, and a number besides.
 	RetryRatio  float64
@@ -54,9 +45,6 @@
 	RateSlack   float64
 	// OrderGap is the least time between orders of two VMs to one engine.
 	OrderGap time.Duration
-	// LoadWindow and LoadOverage bound loads from the weight store.
-	LoadWindow  time.Duration
-	LoadOverage float64
 	// AnswerTTL is the longest time that callers keep directory answers.
 	AnswerTTL time.Duration
 }
--- a/internal/serving/policy/policy.go
+++ b/internal/serving/policy/policy.go
@@ -160,11 +160,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	// HeaderBytes and BodyBytes bound the sizes.
-	HeaderBytes int
-	BodyBytes   int64
-	// HeaderTimeout and IdleTimeout bound the waiting for a request.
-	HeaderTimeout, IdleTimeout time.Duration
+	// BodyBytes bounds the size of a body.
+	BodyBytes int64
 }
 
 // Policy is one version of the configuration. It never changes once indexed.
