--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -19,7 +19,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sourcegraph/conc"
 
-	"fireflypier.example/fireflypier/internal/permit"
 	"fireflypier.example/fireflypier/internal/serving/duty"
 	"fireflypier.example/fireflypier/internal/serving/policy"
 	"fireflypier.example/fireflypier/internal/serving/stocking"
@@ -74,8 +73,9 @@
 // Desk gives orders. Its methods may be called at the same time.
 type Desk struct {
 	Parts
-	done chan struct{}
-	wake chan struct{}
+	done    chan struct{}
+	wake    chan struct{}
+	permits *permits
 
 	mu    sync.Mutex
 	fence int64
@@ -84,13 +84,12 @@
 	newest  time.Time
 	settled bool
 	engines map[string]*engine
-	permits map[string]*permit.Permit
 	busy    map[string]bool
 }
 
 // New returns a desk without accounts.
 func New(p Parts) *Desk {
-	return &Desk{Parts: p, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &Desk{Parts: p, done: make(chan struct{}), wake: make(chan struct{}, 1), permits: newPermits()}
 }
 
 // Run gives orders while the duty is held, until ctx ends.
@@ -128,7 +127,6 @@
 	d.settled = false
 	d.engines = make(map[string]*engine)
 	d.busy = make(map[string]bool)
-	d.permits = make(map[string]*permit.Permit)
 	d.Logger.Info("orders begin", "fence", term.Fence)
 }
 
@@ -240,11 +238,9 @@
 func (d *Desk) loadIntended(ctx context.Context, term *duty.Term, pool *policy.Pool, e *engine, now time.Time) {
 	w := e.report.Weights
 	if !slices.Contains(w.InMemory, e.intended) && !slices.Contains(w.OnDisk, e.intended) {
-		pm := d.permit(pool)
-		if pm.Available(now, 0) == 0 {
+		if !d.permits.take(pool, now) {
 			return
 		}
-		pm.Take(1)
 	}
 	model := e.intended
 	e.intended = ""
@@ -325,10 +321,9 @@
 		if in == nil {
 			continue
 		}
-		pm := d.permit(pool)
-		in.ColdLoads, in.Loads = pm.Available(in.Now, 0), max(0, loadsAtOnce(pool.Engine)-loading)
+		in.ColdLoads, in.Loads = d.permits.available(pool, in.Now), max(0, loadsAtOnce(pool.Engine)-loading)
 		for _, a := range stocking.Next(in) {
-			d.begins(ctx, term, pool, a, live, pm, wg)
+			d.begins(ctx, term, pool, a, live, wg)
 		}
 	}
 }
@@ -344,18 +339,6 @@
 	return max(leastAtOnce, int(spec.LoadsPerSecond*slowest.Seconds()))
 }
 
-func (d *Desk) permit(pool *policy.Pool) *permit.Permit {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	pm := d.permits[pool.Name]
-	if pm == nil {
-		pm = permit.New()
-		pm.SetLimits(pool.Engine.LoadsPerSecond, 0, 1)
-		d.permits[pool.Name] = pm
-	}
-	return pm
-}
-
 // input describes a pool's engines; nil until every engine that can be
 // reached has reported.
 func (d *Desk) input(pool *policy.Pool, live []*engine, demand map[weightsdemand.Key]weightsdemand.Level) (in *stocking.Input, loading int) {
@@ -424,13 +407,13 @@
 }
 
 // begins starts one action of a plan.
-func (d *Desk) begins(ctx context.Context, term *duty.Term, pool *policy.Pool, a stocking.Action, live []*engine, pm *permit.Permit, wg *conc.WaitGroup) {
+func (d *Desk) begins(ctx context.Context, term *duty.Term, pool *policy.Pool, a stocking.Action, live []*engine, wg *conc.WaitGroup) {
 	for _, e := range live {
 		if e.target.ID != a.Engine {
 			continue
 		}
-		if a.Cold {
-			pm.Take(1)
+		if a.Cold && !d.permits.take(pool, d.Clock.Now()) {
+			return
 		}
 		d.spawn(wg, e, func() {
 			e.mu.Lock()
