Remove what nothing reads; use slices and one handler type

A choice counted requests and places that nobody read, on every request; the order desk had a wake channel that nobody wrote to. Look-ups in lists call slices.Contains, and one handler type serves the front and the node, so that no wrapper stands between them.

--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,7 +13,6 @@
 
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/serving/decisionlog"
-	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/machine"
 	"fireflypier.example/fireflypier/internal/serving/node"
 	"fireflypier.example/fireflypier/internal/serving/socket"
@@ -52,12 +50,10 @@
 		Engines:      targets,
 		DecodePolicy: platform.DecodePolicy,
 		DecodeTarget: platform.DecodeTarget,
-		Front: func(serve func(http.ResponseWriter, *http.Request, *exchange.Request) error, bodyLimit func() int64) http.Handler {
-			return platform.Front(serve, bodyLimit)
-		},
-		Directory: platform.Directory,
-		Ready:     platform.Ready,
-		Logger:    logger,
+		Front:        platform.Front,
+		Directory:    platform.Directory,
+		Ready:        platform.Ready,
+		Logger:       logger,
 	})
 	if err != nil {
 		return failure.Wrap(failure.Internal, err, "start node")
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -88,6 +88,10 @@
 	Signed bool
 }
 
+// Handler answers r on w, or returns the failure to be told to the caller. hr
+// is the request as the caller sent it.
+type Handler func(w http.ResponseWriter, hr *http.Request, r *Request) error
+
 // Sender sends requests to targets.
 type Sender interface {
 	// Send returns the head of the target's answer. An error wraps
--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -56,15 +57,6 @@
 	Exclude []string
 }
 
-func (w *Want) excludes(id string) bool {
-	for _, x := range w.Exclude {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Choice is the outcome of a choice.
 type Choice struct {
 	// Target is nil when no target can serve the request now.
@@ -76,9 +68,6 @@
 	// Candidates counts the targets that could serve the request, WithModel
 	// those that hold its model at least, InPool all that take work.
 	Candidates, WithModel, InPool int
-	// Requests and Slots are the unfinished requests and the places of all
-	// candidates.
-	Requests, Slots int
 }
 
 // View is what this VM knows of the targets. Its methods may be called at the
@@ -292,13 +281,11 @@
 				continue
 			}
 		}
-		if w.excludes(id) || now.Before(s.downUntil) {
+		if slices.Contains(w.Exclude, id) || now.Before(s.downUntil) {
 			continue
 		}
 		total := s.total()
 		c.Candidates++
-		c.Requests += total.requests
-		c.Slots += s.target.Slots
 		expected, cached := v.expected(s, total, w, id == preferred, now)
 		cost := expected + time.Duration(s.failureRate(now)*float64(failureCost))
 		if c.Target == nil || cost < best {
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -70,7 +70,7 @@
 	DecodePolicy func([]byte) (*policy.Policy, error)
 	DecodeTarget func(id string, data []byte) (*target.Target, error)
 	// Front, Directory and Ready return the platform's handlers.
-	Front     func(serve func(http.ResponseWriter, *http.Request, *exchange.Request) error, bodyLimit func() int64) http.Handler
+	Front     func(serve exchange.Handler, bodyLimit func() int64) http.Handler
 	Directory func(addresses func(dataCentre string) []netip.AddrPort, ttl func() time.Duration) http.Handler
 	Ready     func(ready func() bool) http.Handler
 	Logger    hclog.Logger
--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -74,7 +74,6 @@
 type Desk struct {
 	Parts
 	done    chan struct{}
-	wake    chan struct{}
 	permits *permits
 
 	mu    sync.Mutex
@@ -89,7 +88,7 @@
 
 // New returns a desk without accounts.
 func New(p Parts) *Desk {
-	return &Desk{Parts: p, done: make(chan struct{}), wake: make(chan struct{}, 1), permits: newPermits()}
+	return &Desk{Parts: p, done: make(chan struct{}), permits: newPermits()}
 }
 
 // Run gives orders while the duty is held, until ctx ends.
@@ -102,7 +101,6 @@
 	for {
 		select {
 		case <-ticker.Chan():
-		case <-d.wake:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/serving/target/target.go
+++ b/internal/serving/target/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -54,12 +55,7 @@
 
 // HasAdapter reports whether an adapter is held.
 func (h *Held) HasAdapter(name string) bool {
-	for _, a := range h.Adapters {
-		if a == name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(h.Adapters, name)
 }
 
 // Report is an engine's own account, some hundred milliseconds old.
