Let an engine unload one of two versions of a model that it alone holds

Cause: the unload of a served model is written together with the row of another engine that serves it. Ruled out: lost orders and permits, since the dump showed no order under way. The row of the engine itself proves the other version, so it needs no second row. Before: the new spec gets no order; after: one unload of the version 1.

--- a/internal/shardplan/decide.go
+++ b/internal/shardplan/decide.go
@@ -48,12 +48,13 @@
 
 // unload records an unload. The unload of a model is written together with
 // the row of an engine that serves the model and goes on, so that no two
-// planners can unload each other's last replica.
+// planners can unload each other's last replica. An engine that keeps another
+// version needs no second row.
 func (p *Plan) unload(e *engineState, a placement.Unload) {
 	if e == nil || !e.ready() {
 		return
 	}
-	if p.isServed(a.Weights) {
+	if p.isServed(a.Weights) && !e.keepsOther(a.Weights) {
 		witness := p.witness(e, a.Weights.Name)
 		if witness == nil {
 			return
@@ -92,6 +93,13 @@
 	})
 }
 
+// keepsOther reports whether the engine serves another version of the model w.
+func (e *engineState) keepsOther(w ledger.Weights) bool {
+	return slices.ContainsFunc(e.ledger.Entries, func(entry ledger.Entry) bool {
+		return entry.Kind == w.Kind && entry.Name == w.Name && entry.Version != w.Version && entry.State == ledger.Loaded
+	})
+}
+
 // link makes the rows of two engines part of one transaction.
 func (p *Plan) link(a, b *engineState) {
 	from, to := b.group, a.group
--- a/internal/shardplan/shardplan_test.go
+++ b/internal/shardplan/shardplan_test.go
@@ -114,6 +114,35 @@
 		Expect(plan.Status(demand.New(), p.now).Models).To(HaveLen(1))
 	})
 
+	It("unloads the older of two versions that only one engine holds, for a third", func() {
+		p := newPair()
+		for _, name := range []string{"y", "z"} {
+			p.objects.Models[name] = object.Model{Pool: "p", Version: "1", MemoryBytes: 5}
+		}
+		p.objects.Models["x"] = object.Model{Pool: "p", Version: "3", MemoryBytes: 5}
+		held := map[string][]ledger.Weights{
+			"a": {{Kind: object.KindModel, Name: "x", Version: "1"}, {Kind: object.KindModel, Name: "x", Version: "2"}},
+			"b": {{Kind: object.KindModel, Name: "y", Version: "1"}, {Kind: object.KindModel, Name: "z", Version: "1"}},
+		}
+		for _, r := range p.reports {
+			r.Entries = nil
+			for _, w := range held[r.BootID] {
+				r.Entries = append(r.Entries, engine.Entry{Kind: w.Kind, Name: w.Name, Version: w.Version, MemoryBytes: 5, State: engine.Loaded})
+			}
+		}
+		plan := p.planner("")
+		plan.work.Models = []string{"x", "y", "z"}
+		swaps := plan.Next(demand.New(), p.now)
+		var orders []engine.Order
+		for _, s := range swaps {
+			plan.Committed(s, 1, nil)
+			for _, part := range s.Parts {
+				orders = append(orders, part.Orders...)
+			}
+		}
+		Expect(orders).To(ConsistOf(And(HaveField("Action", engine.Unload), HaveField("Name", "x"), HaveField("Version", "1"))))
+	})
+
 	It("shows operators what is where, what is moving and why, and what is at risk", func() {
 		p := newPair()
 		p.objects.Models["y"] = object.Model{Pool: "p", Version: "1", MemoryBytes: 3}
