Take over the share of a gateway whose peer port refuses connections

A gateway listens on its peer port from before its first share until it admits nothing more; a refused connection therefore proves that the process has ended. Ruled out as proof: time-outs, resets, missing routes, which a frozen or cut-off gateway causes too (spec). A gateway that loses its listener admits nothing.

--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/limiter"
 	"fireflypier.example/fireflypier/internal/member"
 	"fireflypier.example/fireflypier/internal/rendezvous"
@@ -18,10 +19,22 @@
 		Self:     holderOf(&self),
 		Gateways: g.gatewaysFor,
 		VMs:      g.platform,
-		Fresh:    g.adoption.Fresh,
+		Fresh:    g.mayAdmit,
 	})
 }
 
+// mayAdmit returns an error while the gateway may admit nothing: its
+// configuration may be stale, or it no longer listens for its peers, who then
+// take over its shares.
+func (g *Gateway) mayAdmit() error {
+	select {
+	case <-g.peers.Done():
+		return failure.New(failure.Leaving, "the gateway does not listen for its peers")
+	default:
+		return g.adoption.Fresh()
+	}
+}
+
 func holderOf(m *member.Member) share.Holder {
 	return share.Holder{Name: m.Name, Incarnation: m.Incarnation, Address: m.PeerAddress, Region: m.Region}
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,8 +34,10 @@
 	clock    clockwork.Clock
 	limiters []*limiter.Limiter
 	fresh    error
-	// lost is the number of the gateway that answers no more, from one.
+	// lost is the number of the gateway that answers no more, from one, and
+	// lostBy the error of a call to it.
 	lost   int
+	lostBy error
 	vms    atomic.Pointer[[]vmlist.VM]
 	listed atomic.Int64
 }
@@ -56,7 +61,10 @@
 // Pull implements limiter.Peers.
 func (g *group) Pull(ctx context.Context, h *share.Holder, req *sharepb.PullRequest) (*sharepb.PullReply, error) {
 	i := int(h.Address.Port()) - 1
-	if i >= len(g.limiters) || i == g.lost-1 {
+	if i == g.lost-1 {
+		return nil, errors.Wrap(g.lostBy, "pull tokens")
+	}
+	if i >= len(g.limiters) {
 		return nil, errors.New("no such gateway")
 	}
 	return g.limiters[i].Server().Pull(ctx, req)
@@ -138,11 +146,61 @@
 	It("leaves a part at another gateway, so that the loss of the only holder leaves something", func() {
 		_, err := a.Take(ctx, customer, 100)
 		Expect(err).NotTo(HaveOccurred())
-		g.lost = 1
+		g.lost, g.lostBy = 1, os.ErrDeadlineExceeded
 		_, err = b.Take(ctx, customer, 50)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// sharesAfter has the first gateway admit a request, makes calls to it
+	// end with err, and returns the second gateway's part once that has asked
+	// for more than its reserve and has read the row again.
+	sharesAfter := func(err error) int64 {
+		clock := clockwork.NewFakeClock()
+		g = &group{store: tablestore.New(), clock: clock}
+		rates := ratesOf(1, object.Rate{TokensPerSecond: 1000, BurstTokens: 1000})
+		a, b = g.add(rates), g.add(rates)
+		_, takeErr := a.Take(ctx, customer, 100)
+		Expect(takeErr).NotTo(HaveOccurred())
+		_, takeErr = b.Take(ctx, customer, 100)
+		Expect(takeErr).NotTo(HaveOccurred())
+		g.lost, g.lostBy = 1, err
+
+		running, stop := context.WithCancel(ctx)
+		go b.Run(running)
+		refused := make(chan error)
+		go func() {
+			_, takeErr := b.Take(ctx, customer, 1000)
+			refused <- takeErr
+		}()
+		for waiting := true; waiting; clock.Advance(10 * time.Millisecond) {
+			select {
+			case takeErr := <-refused:
+				Expect(failure.Is(takeErr, failure.RateExceeded)).To(BeTrue())
+				waiting = false
+			case <-time.After(time.Millisecond):
+			}
+		}
+		const rounds = 1000
+		for range rounds {
+			clock.Advance(10 * time.Millisecond)
+			time.Sleep(100 * time.Microsecond)
+		}
+		stop()
+		<-b.Done()
+		return b.Shares()[customer].Parts
+	}
+
+	It("takes over the share of a gateway whose port refuses connections", func() {
+		refused := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+		Expect(sharesAfter(refused)).To(BeEquivalentTo(share.Whole))
+	})
+
+	It("leaves its share to a gateway that is silent or whose connections break", func() {
+		for _, err := range []error{os.ErrDeadlineExceeded, syscall.ECONNRESET, syscall.EHOSTUNREACH} {
+			Expect(sharesAfter(err)).To(BeNumerically("<", share.Whole), err.Error())
+		}
+	})
+
 	It("says that the store is out when nobody knows who holds the rate", func() {
 		g.store.SetFault(tablestore.Fault{Outage: true})
 		_, err := a.Take(ctx, customer, 1)
--- a/internal/limiter/pull.go
+++ b/internal/limiter/pull.go
@@ -102,7 +102,8 @@
 	if err != nil {
 		cu.setLost()
 		cu.limiter.counts.pullErrors.Inc()
-		cu.limiter.parts.Logger.Debug("tokens not pulled", "customer", cu.name, "peer", h.Name, "error", err)
+		ended := cu.limiter.vms.unreached(h, err)
+		cu.limiter.parts.Logger.Debug("tokens not pulled", "customer", cu.name, "peer", h.Name, "ended", ended, "error", err)
 		return 0
 	}
 	cu.mu.Lock()
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -81,8 +81,8 @@
 	}
 }
 
-// WithGone lets shares be taken back at once from holders whose VM is
-// certainly gone, as the platform says.
+// WithGone lets shares be taken back at once from holders whose process has
+// certainly ended.
 func WithGone(gone func(h *Holder) bool) Option {
 	return func(s *Share) { s.gone = gone }
 }
