Name other VMs in each directory answer of a large site

Cause: an answer holds 64 addresses and every VM named the first 64, so on a site of 90 VMs some would never have been named by others. Each VM now chooses by rendezvous hashing. Test: every VM of 300 is named about equally often, and 63 of 64 names stay when one VM leaves.

--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -20,6 +20,7 @@
 
 	"fireflypier.example/fireflypier/internal/adminapi"
 	"fireflypier.example/fireflypier/internal/serving/allowance"
+	"fireflypier.example/fireflypier/internal/serving/directory"
 	"fireflypier.example/fireflypier/internal/serving/duty"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/fleetview"
@@ -89,8 +90,10 @@
 	mesh     *mesh.Mesh
 	store    *storerelay.Store
 	duty     *duty.Duty
-	desk     *orderdesk.Desk
-	forward  *forward.Forward
+	// directory chooses the VMs that callers are told of.
+	directory *directory.Directory
+	desk      *orderdesk.Desk
+	forward   *forward.Forward
 
 	policy  atomic.Pointer[policy.Policy]
 	bounds  atomic.Pointer[machine.Bounds]
@@ -115,6 +118,7 @@
 		clock:       clockwork.NewRealClock(),
 		incarnation: time.Now().UnixNano(),
 		registry:    prometheus.NewRegistry(),
+		directory:   directory.New(p.Settings.Front),
 		view:        fleetview.New(p.Settings.DataCentre),
 		demand:      weightsdemand.New(),
 		inventory:   make(map[string]held),
@@ -330,8 +334,7 @@
 			found = append(found, p.Front)
 		}
 	}
-	const most = 64 // callers take no more
-	return found[:min(most, len(found))]
+	return n.directory.Addresses(found)
 }
 
 // join lists this VM in the store and learns of the others.
