Let one VM of a pair begin their exchanges; tell demand only to the planner

Cause: on a site of 65 VMs most of the bytes between data centres were digests: both VMs of a pair began an exchange in every interval though one tells both, and every digest carried the demand for weights, which only the holder of the order duty reads. The spec counts exchanges and failed before.

--- a/internal/serving/mesh/membership.go
+++ b/internal/serving/mesh/membership.go
@@ -17,6 +17,9 @@
 	// forgetAfter is how long a silent member still counts in the divisions
 	// of rates and retry budgets; a restart takes a few seconds.
 	forgetAfter = 30 * time.Second
+	// missedExchanges is the number of intervals after which a VM asks a peer
+	// that should have asked it; it is above one for the spread of timers.
+	missedExchanges = 1.5
 )
 
 // Peer is another VM of the system.
@@ -62,6 +65,23 @@
 	return time.Duration(steps * float64(exchangeInterval))
 }
 
+// due reports whether an exchange with a peer should begin. An exchange tells
+// both sides, so one VM of each pair begins it; the other does only after it
+// has missed one, or when it is urged to tell something.
+func (m *membership) due(p *Peer, urged bool, now time.Time) bool {
+	if !p.Live(now) {
+		return now.Sub(p.dialed) >= silentInterval
+	}
+	return urged || m.begins(p) || now.Sub(p.Heard) > time.Duration(missedExchanges*float64(m.interval()))
+}
+
+// begins reports whether this VM is the one of a pair that begins exchanges;
+// the sum of the hashes gives every VM about half of its pairs.
+func (m *membership) begins(p *Peer) bool {
+	odd := (addressHash(m.self)+addressHash(p.Address))&1 == 1
+	return odd == (m.self.Compare(p.Address) < 0)
+}
+
 func newMembership(self netip.AddrPort) *membership {
 	return &membership{self: self, peers: make(map[netip.AddrPort]*Peer)}
 }
--- a/internal/serving/mesh/mesh.go
+++ b/internal/serving/mesh/mesh.go
@@ -107,14 +107,17 @@
 			m.logger.Error("peers are no longer served", "error", err)
 		}
 	})
+	urged := false
 	for ctx.Err() == nil {
-		m.Spread(ctx, &wg)
+		m.spread(ctx, &wg, urged)
 		m.mu.Lock()
 		interval := m.members.interval()
 		m.mu.Unlock()
+		urged = false
 		select {
 		case <-m.clock.After(interval):
 		case <-m.urge:
+			urged = true
 		case <-ctx.Done():
 		}
 	}
@@ -122,7 +125,7 @@
 	return m.dialer.Close()
 }
 
-// Urge makes the next exchange begin now.
+// Urge makes the next exchange begin now, with every live peer.
 func (m *Mesh) Urge() {
 	select {
 	case m.urge <- struct{}{}:
@@ -133,8 +136,8 @@
 // Done is closed when Run has returned.
 func (m *Mesh) Done() <-chan struct{} { return m.done }
 
-// Spread begins an exchange with every peer that has none under way.
-func (m *Mesh) Spread(ctx context.Context, wg *conc.WaitGroup) {
+// spread begins an exchange with every peer that is due and has none under way.
+func (m *Mesh) spread(ctx context.Context, wg *conc.WaitGroup, urged bool) {
 	now := m.clock.Now()
 	m.mu.Lock()
 	for _, addr := range m.members.forget(now) {
@@ -142,7 +145,7 @@
 	}
 	var due []Peer
 	for addr, p := range m.members.peers {
-		if m.busy[addr] || (!p.Live(now) && now.Sub(p.dialed) < silentInterval) {
+		if m.busy[addr] || !m.members.due(p, urged, now) {
 			continue
 		}
 		p.dialed = now
--- a/internal/serving/mesh/mesh_test.go
+++ b/internal/serving/mesh/mesh_test.go
@@ -102,6 +102,24 @@
 		Eventually(c.live, "5s").Should(ConsistOf(a.addr, b.addr))
 	})
 
+	It("has one exchange of a pair in each interval, which tells both", func() {
+		Eventually(a.live, "5s").Should(ConsistOf(b.addr, c.addr))
+		Eventually(b.live, "5s").Should(ConsistOf(a.addr, c.addr))
+		heard := func(v *vm) int {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			return v.heard[b.addr] + v.heard[a.addr]
+		}
+		const interval = 300 * time.Millisecond
+		began := time.Now()
+		atA, atB := heard(a), heard(b)
+		Eventually(func() int { return heard(a) - atA }, "10s").Should(BeNumerically(">=", 10))
+		Eventually(func() int { return heard(b) - atB }, "10s").Should(BeNumerically(">=", 10))
+		most := int(time.Since(began)/interval) + 3
+		Expect(heard(a) - atA).To(BeNumerically("<=", most))
+		Expect(heard(b) - atB).To(BeNumerically("<=", most))
+	})
+
 	It("tells who is ready and who leaves", func() {
 		a.mesh.Announce(true, false)
 		ready := func() (ready, leaving bool) {
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -237,6 +237,9 @@
 		sendsSeen, inventorySeen = p.Digest.GetSendsSeen(), p.Digest.GetInventorySeen()
 	}
 	d.Sends, d.SendsUpto = n.view.SendsAfter(sendsSeen)
+	if !n.plans(p) {
+		d.Weights = nil
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if d.GetFence() != 0 {
@@ -257,6 +260,19 @@
 	}
 }
 
+// plans reports whether a peer places weights, or may do so next since no VM
+// is known to hold the order duty. Only such a peer needs the demand for them.
+func (n *Node) plans(p *mesh.Peer) bool {
+	if p.Digest.GetFence() != 0 {
+		return true
+	}
+	if n.duty.Term() != nil {
+		return false
+	}
+	_, held := n.holder()
+	return !held
+}
+
 // seen is what this VM has of a peer.
 type seen struct {
 	incarnation, fence int64
