Order requests by their customer's rank, then by their route's

Cause: the configuration's rank of a customer was read and not used. So the customer's rank goes first and the route's decides among equals.

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -61,7 +61,7 @@
 	Budget time.Duration
 	// Customer is told to the target; empty on open routes.
 	Customer string
-	// Rank orders the request at the target, 0 to MaxRank.
+	// Rank orders the request at the target, 0 to policy.MaxRank.
 	Rank int
 	// LastEvent overrides that of the request.
 	LastEvent string
@@ -70,9 +70,6 @@
 	Repeatable bool
 }
 
-// MaxRank is the least urgent rank that targets know.
-const MaxRank = 9
-
 // Answer is the head of a target's answer. Close its Body.
 type Answer struct {
 	// Status and Header are the target's; Header has no hop-by-hop field.
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -260,7 +260,7 @@
 			j.want.ChainTokens = append(j.want.ChainTokens, p.Tokens)
 		}
 	}
-	j.rank = j.route.Rank
+	j.rank = j.route.RankFor(j.customer)
 }
 
 func (j *job) charge() error {
--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -225,6 +225,24 @@
 		Expect(w.Code).To(Equal(http.StatusOK))
 	})
 
+	It("goes on past targets that cannot be reached without a budget for retries", func() {
+		f.SetBounds(allowance.Tolerance{Window: time.Second}, retrybudget.Bound{Window: time.Second})
+		sender.replies = []reply{{err: transport.NewNotSentError(errReset)}, {err: transport.NewNotSentError(errReset)}}
+		w, _, err := ask("/buy/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Code).To(Equal(http.StatusOK))
+		Expect(sender.attempts).To(HaveLen(3))
+	})
+
+	It("has its customer's rank before that of its route", func() {
+		p.Customers[0].Rank, p.Customers[0].Ranked = 2, true
+		sender.replies = []reply{{status: 200, body: events("1")}}
+		_, _, err := ask("/draft/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sender.attempts[0].Rank).To(Equal(p.Routes[2].RankFor(&p.Customers[0])))
+		Expect(sender.attempts[0].Rank).To(BeNumerically(">", p.Routes[2].RankFor(nil)))
+	})
+
 	It("that must not be repeated is sent once when it may have run", func() {
 		sender.replies = []reply{{err: errReset}}
 		_, _, err := ask("/buy/1")
--- a/internal/serving/policy/policy.go
+++ b/internal/serving/policy/policy.go
@@ -146,7 +146,8 @@
 	Name string
 	// Keys lists the keys in force.
 	Keys []string
-	// Rank orders requests before the rank of their route.
+	// Rank orders requests before the rank of their route; zero is the most
+	// urgent.
 	Rank int
 	// Ranked tells whether Rank is set.
 	Ranked bool
@@ -158,6 +159,25 @@
 	PlainCost float64
 }
 
+// The ranks that targets tell apart.
+const (
+	// MaxRank is the least urgent one.
+	MaxRank = 9
+	// routeRanks is the number of ranks of routes that are told apart within
+	// one rank of a customer, so that three ranks of customers fit.
+	routeRanks = 3
+)
+
+// RankFor returns the rank of a customer's request on a route, 0 to MaxRank:
+// the customer's rank goes first, the route's decides among equals. c may be
+// nil.
+func (r *Route) RankFor(c *Customer) int {
+	if c == nil || !c.Ranked {
+		return min(r.Rank, MaxRank)
+	}
+	return min(c.Rank*routeRanks+min(r.Rank, routeRanks-1), MaxRank)
+}
+
 // Limits bound what callers may send.
 type Limits struct {
 	// BodyBytes bounds the size of a body.
--- a/internal/serving/policy/policy_test.go
+++ b/internal/serving/policy/policy_test.go
@@ -48,6 +48,25 @@
 		Expect(p.Keyed()).To(BeTrue())
 	})
 
+	It("orders requests by the rank of their customer, then of their route", func() {
+		route := func(rank int) *policy.Route { return &policy.Route{Rank: rank} }
+		customer := func(rank int) *policy.Customer { return &policy.Customer{Rank: rank, Ranked: true} }
+		ranks := []int{
+			route(0).RankFor(customer(0)),
+			route(2).RankFor(customer(0)),
+			route(0).RankFor(customer(1)),
+			route(1).RankFor(customer(1)),
+			route(0).RankFor(customer(2)),
+			route(7).RankFor(customer(9)),
+		}
+		for i := range ranks[1:] {
+			Expect(ranks[i]).To(BeNumerically("<", ranks[i+1]))
+		}
+		Expect(ranks[5]).To(Equal(policy.MaxRank))
+		Expect(route(4).RankFor(nil)).To(Equal(4))
+		Expect(route(4).RankFor(&policy.Customer{})).To(Equal(4))
+	})
+
 	It("knows what may be repeated and how long callers wait", func() {
 		stream := policy.Route{Kind: policy.Stream, Objective: 800 * time.Millisecond, MaxGap: 300 * time.Millisecond}
 		Expect(stream.Repeatable()).To(BeFalse())
