Draw no retry for an attempt that has not reached its target

Cause: after 23 engines had crashed, 515 requests ended with 503 since the VM's part of the retry budget was used up by connections that were refused. The operators' bound counts arrivals at targets, and these never arrived. Ruled out: too few other engines (candidates stood in the log).

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -25,7 +25,10 @@
 const (
 	// done attempts have answered the caller.
 	done verdict = iota
-	// notRun attempts certainly have not run the request.
+	// notSent attempts have not reached the target.
+	notSent
+	// notRun attempts have reached the target, which certainly has not run
+	// the request.
 	notRun
 	// mayHaveRun attempts have failed and may have run the request.
 	mayHaveRun
@@ -50,15 +53,18 @@
 }
 
 // mayRepeat reports whether another attempt may follow, and takes it from the
-// retry budget.
+// retry budget if the target got the request.
 func (j *job) mayRepeat(ctx context.Context, v verdict) bool {
 	f := j.f
-	if ctx.Err() != nil || j.sends >= maxSends || j.runs >= j.route.MaxAttempts {
+	if ctx.Err() != nil || j.sends >= maxSends || j.runs >= j.route.MaxAttempts || j.deadline.Sub(f.Clock.Now()) < leastTime {
 		return false
 	}
 	if v == mayHaveRun && !j.route.Repeatable() {
 		return false
 	}
+	if v == notSent {
+		return true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
@@ -150,7 +156,7 @@
 	now := f.Clock.Now()
 	left := j.deadline.Sub(now)
 	if left < leastTime {
-		return notRun, failure.New(failure.DeadlineExceeded, "no time is left")
+		return notSent, failure.New(failure.DeadlineExceeded, "no time is left")
 	}
 	if j.sends == 0 {
 		f.mu.Lock()
@@ -205,6 +211,8 @@
 
 func verdictName(v verdict, err error) string {
 	switch {
+	case v == notSent:
+		return "not_sent"
 	case v == notRun:
 		return "not_run"
 	case v == mayHaveRun:
@@ -218,20 +226,20 @@
 // sendFailed judges an attempt without the head of an answer.
 func (j *job) sendFailed(ctx context.Context, ticket *fleetview.Ticket, id string, err error) (verdict, error) {
 	now := j.f.Clock.Now()
-	var notSent *transport.NotSentError
+	var unsent *transport.NotSentError
 	v := mayHaveRun
-	if errors.As(err, &notSent) {
-		v = notRun
+	if errors.As(err, &unsent) {
+		v = notSent
 	}
 	ticket.End(ctx.Err() == nil, now)
-	if v == notRun && ctx.Err() == nil {
+	if v == notSent && ctx.Err() == nil {
 		ticket.Unreachable(now)
 	}
 	if v == mayHaveRun {
 		j.runs++
 	}
 	j.f.Metrics.sent(verdictName(v, err))
-	j.log(now).Info("attempt failed", "target", id, "attempt", j.sends, "not_sent", v == notRun, "error", err)
+	j.log(now).Info("attempt failed", "target", id, "attempt", j.sends, "not_sent", v == notSent, "error", err)
 	return v, err
 }
 
