Expect engines to read urgent prompts first

The wrong expectation made them avoid engines for nothing, and spoilt the pace by which all other requests are judged. VMs now tell each other the unread prompts by rank.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -50,6 +50,8 @@
 	Model, Adapter string
 	// PromptTokens and AnswerTokens are the request's size.
 	PromptTokens, AnswerTokens int
+	// Rank is the request's rank, 0 to policy.MaxRank.
+	Rank int
 	// Chain and ChainTokens are the hashes and lengths of the prompt's parts.
 	Chain       []uint32
 	ChainTokens []int
@@ -183,7 +185,7 @@
 	}
 	for _, l := range loads {
 		if s := v.targets[l.GetTarget()]; s != nil {
-			s.others[peer] = load{int(l.GetRequests()), int(l.GetPromptTokens()), int(l.GetKvTokens())}
+			s.others[peer] = loadOf(l)
 		}
 	}
 }
@@ -216,12 +218,7 @@
 	var loads []*meshpb.Load
 	for id, s := range v.targets {
 		if s.own.requests > 0 {
-			loads = append(loads, &meshpb.Load{
-				Target:       id,
-				Requests:     uint32(s.own.requests),
-				PromptTokens: uint32(max(0, s.own.promptTokens)),
-				KvTokens:     uint32(max(0, s.own.kvTokens)),
-			})
+			loads = append(loads, s.own.wire(id))
 		}
 	}
 	return loads
@@ -286,7 +283,7 @@
 		}
 		total := s.total()
 		c.Candidates++
-		expected, cached := v.expected(s, total, w, id == preferred, now)
+		expected, cached := v.expected(s, &total, w, id == preferred, now)
 		cost := expected + time.Duration(s.failureRate(now)*float64(failureCost))
 		if c.Target == nil || cost < best {
 			c.Target, c.Expected, c.Cached, best = s.target, expected, cached, cost
@@ -297,7 +294,7 @@
 
 // expected returns the time until the first event, and the tokens of the
 // prompt that the engine keeps.
-func (v *View) expected(s *state, total load, w *Want, preferred bool, now time.Time) (time.Duration, int) {
+func (v *View) expected(s *state, total *load, w *Want, preferred bool, now time.Time) (time.Duration, int) {
 	var t time.Duration
 	if s.target.DataCentre != v.dataCentre {
 		t += distanceCost
@@ -316,7 +313,7 @@
 		}
 	}
 	unread := max(0, w.PromptTokens-cached)
-	reading := float64(unread+total.promptTokens) / prefillPerMillisecond * float64(time.Millisecond)
+	reading := float64(unread+total.ahead(w.Rank)) / prefillPerMillisecond * float64(time.Millisecond)
 	busy := time.Duration(reading) + stepCost + time.Duration(total.requests)*sequenceCost
 	t += time.Duration(float64(busy) * s.currentPace(now))
 	if over := total.requests + 1 - s.target.Slots; over > 0 {
--- a/internal/serving/fleetview/fleetview_test.go
+++ b/internal/serving/fleetview/fleetview_test.go
@@ -80,12 +80,33 @@
 		v.Begin(&first, w, now)
 		second := v.Choose(w, now)
 		Expect(second.Target.ID).NotTo(Equal(first.Target.ID))
-		v.SetPeerLoads("peer", []*meshpb.Load{{Target: second.Target.ID, Requests: 5, PromptTokens: 60_000, KvTokens: 60_000}})
+		v.SetPeerLoads("peer", []*meshpb.Load{{Target: second.Target.ID, Requests: 5, PromptTokens: []uint32{60_000}, KvTokens: 60_000}})
 		Expect(v.Choose(w, now).Target.ID).To(Equal(first.Target.ID))
 		v.SetPeerLoads("peer", nil)
 		Expect(v.Choose(w, now).Target.ID).To(Equal(second.Target.ID))
 	})
 
+	It("expects an engine to read urgent prompts first", func() {
+		v.Remove("e2")
+		idle := v.Choose(want(), now).Expected
+		v.SetPeerLoads("peer", []*meshpb.Load{{Target: "e1", Requests: 3, PromptTokens: []uint32{0, 30_000}}})
+		urgent, patient := want(), want()
+		patient.Rank = 1
+		Expect(v.Choose(urgent, now).Expected).To(BeNumerically("~", idle, 10*time.Millisecond))
+		Expect(v.Choose(patient, now).Expected).To(BeNumerically(">", idle+500*time.Millisecond))
+	})
+
+	It("tells peers its unread prompts by rank", func() {
+		w := want()
+		w.Rank = 2
+		ticket := begin(w)
+		Expect(v.Loads()[0].GetPromptTokens()).To(Equal([]uint32{0, 0, 3000}))
+		ticket.Started(now)
+		Expect(v.Loads()[0].GetPromptTokens()).To(BeEmpty())
+		ticket.End(false, now)
+		Expect(v.Loads()).To(BeEmpty())
+	})
+
 	It("prefers the engine that has read the beginning of the prompt", func() {
 		w := want(exchange.Part{ID: "s", Tokens: 2500}, exchange.Part{ID: "own", Tokens: 500})
 		c := v.Choose(w, now)
--- a/internal/serving/fleetview/state.go
+++ b/internal/serving/fleetview/state.go
@@ -30,17 +30,6 @@
 	inventoryFor = 4 * time.Second
 )
 
-// load is unfinished work at a target.
-type load struct {
-	requests, promptTokens, kvTokens int
-}
-
-func (l *load) add(o load) {
-	l.requests += o.requests
-	l.promptTokens += o.promptTokens
-	l.kvTokens += o.kvTokens
-}
-
 // state is what is known of one target.
 type state struct {
 	target *target.Target
@@ -75,7 +64,7 @@
 func (s *state) total() load {
 	l := s.own
 	for _, o := range s.others {
-		l.add(o)
+		l.add(&o)
 	}
 	return l
 }
--- a/internal/serving/fleetview/ticket.go
+++ b/internal/serving/fleetview/ticket.go
@@ -25,16 +25,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := &Ticket{v: v, model: w.Model, adapter: w.Adapter, expected: c.Expected, began: now}
-	t.load = load{
-		requests:     1,
-		promptTokens: max(0, w.PromptTokens-c.Cached),
-		kvTokens:     w.PromptTokens + w.AnswerTokens,
-	}
+	t.load = load{requests: 1, kvTokens: w.PromptTokens + w.AnswerTokens}
+	t.load.prompt[w.Rank] = max(0, w.PromptTokens-c.Cached)
 	t.state = v.targets[c.Target.ID]
 	if t.state == nil {
 		t.state = newState(c.Target) // gone meanwhile; the sending will fail
 	}
-	t.state.own.add(t.load)
+	t.state.own.add(&t.load)
 	if len(w.Chain) > 0 {
 		t.state.prefixes.add(w.Chain, w.ChainTokens, int(cacheShare*float64(w.Pool.Engine.KVTokens)))
 		send := &meshpb.Send{Target: c.Target.ID, Parts: w.Chain, Tokens: make([]uint32, len(w.ChainTokens))}
@@ -54,13 +51,19 @@
 		return
 	}
 	t.read = true
-	t.state.own.promptTokens -= t.load.promptTokens
+	t.promptRead()
 	t.state.downFor = 0
 	if t.expected > 0 {
 		t.state.observePace(t.state.currentPace(t.began)*float64(now.Sub(t.began))/float64(t.expected), now)
 	}
 }
 
+func (t *Ticket) promptRead() {
+	for rank, n := range t.load.prompt {
+		t.state.own.prompt[rank] -= n
+	}
+}
+
 // End takes the request off the target. failed tells that the target has
 // failed it.
 func (t *Ticket) End(failed bool, now time.Time) {
@@ -71,7 +74,7 @@
 	}
 	t.ended = true
 	if !t.read {
-		t.state.own.promptTokens -= t.load.promptTokens
+		t.promptRead()
 	}
 	t.state.own.requests -= t.load.requests
 	t.state.own.kvTokens -= t.load.kvTokens
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -139,7 +139,6 @@
 	want     fleetview.Want
 	deadline time.Time
 	cost     float64
-	rank     int
 
 	sends, runs int
 	brought     bool
@@ -260,7 +259,7 @@
 			j.want.ChainTokens = append(j.want.ChainTokens, p.Tokens)
 		}
 	}
-	j.rank = j.route.RankFor(j.customer)
+	j.want.Rank = j.route.RankFor(j.customer)
 }
 
 func (j *job) charge() error {
