Count places and memory at engines by rank

Cause: as with unread prompts, requests of the most urgent rank were expected to wait 3 s and more for a place or memory at full engines, and had their first event after 0.47 s: engines admit urgent requests first and make room for them.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -217,7 +217,7 @@
 	defer v.mu.Unlock()
 	var loads []*meshpb.Load
 	for id, s := range v.targets {
-		if s.own.requests > 0 {
+		if s.own.requests.total() > 0 {
 			loads = append(loads, s.own.wire(id))
 		}
 	}
@@ -232,7 +232,8 @@
 	if s == nil {
 		return 0
 	}
-	return s.total().requests
+	total := s.total()
+	return total.requests.total()
 }
 
 // keptSends bounds the sends that are kept for peers; a busy VM of today's
@@ -299,10 +300,11 @@
 	if s.target.DataCentre != v.dataCentre {
 		t += distanceCost
 	}
+	requests := total.requests.total()
 	if w.Pool.Engine == nil {
-		t += serviceTime * time.Duration(1+total.requests/max(1, s.target.Slots))
+		t += serviceTime * time.Duration(1+requests/max(1, s.target.Slots))
 		// Spreads the load among equally near targets.
-		t += time.Duration(total.requests) * time.Millisecond
+		t += time.Duration(requests) * time.Millisecond
 		t += time.Duration(rand.Int64N(int64(time.Millisecond)))
 		return t, 0
 	}
@@ -313,13 +315,13 @@
 		}
 	}
 	unread := max(0, w.PromptTokens-cached)
-	reading := float64(unread+total.ahead(w.Rank)) / prefillPerMillisecond * float64(time.Millisecond)
-	busy := time.Duration(reading) + stepCost + time.Duration(total.requests)*sequenceCost
+	reading := float64(unread+total.prompt.ahead(w.Rank)) / prefillPerMillisecond * float64(time.Millisecond)
+	busy := time.Duration(reading) + stepCost + time.Duration(requests)*sequenceCost
 	t += time.Duration(float64(busy) * s.currentPace(now))
-	if over := total.requests + 1 - s.target.Slots; over > 0 {
+	if over := total.requests.ahead(w.Rank) + 1 - s.target.Slots; over > 0 {
 		t += time.Duration(over) * slotCost
 	}
-	memory := total.kvTokens + w.PromptTokens + w.AnswerTokens - w.Pool.Engine.KVTokens
+	memory := total.kv.ahead(w.Rank) + w.PromptTokens + w.AnswerTokens - w.Pool.Engine.KVTokens
 	if memory > 0 {
 		t += time.Duration(float64(memory) / float64(w.Pool.Engine.KVTokens) * float64(memoryCost))
 	}
--- a/internal/serving/fleetview/load.go
+++ b/internal/serving/fleetview/load.go
@@ -5,48 +5,68 @@
 	"fireflypier.example/fireflypier/internal/serving/policy"
 )
 
-// load is unfinished work at a target.
-type load struct {
-	requests, kvTokens int
-	// prompt is the part of the prompts that is not read yet, by rank.
-	prompt [policy.MaxRank + 1]int
-}
+// byRank is an amount for each rank of requests.
+type byRank [policy.MaxRank + 1]int
 
-func (l *load) add(o *load) {
-	l.requests += o.requests
-	l.kvTokens += o.kvTokens
-	for rank, n := range o.prompt {
-		l.prompt[rank] += n
-	}
-}
-
-// ahead returns the prompt tokens that an engine reads before those of a new
-// request: engines read urgent prompts first.
-func (l *load) ahead(rank int) int {
+// ahead returns the amount that an engine puts before a new request of a rank:
+// engines read urgent prompts first, and make room for urgent requests.
+func (b *byRank) ahead(rank int) int {
 	sum := 0
-	for _, n := range l.prompt[:rank+1] {
+	for _, n := range b[:rank+1] {
 		sum += n
 	}
 	return sum
 }
 
-// wire returns what peers are told.
-func (l *load) wire(target string) *meshpb.Load {
-	w := &meshpb.Load{Target: target, Requests: uint32(l.requests), KvTokens: uint32(max(0, l.kvTokens))}
-	for rank, n := range l.prompt {
+func (b *byRank) total() int { return b.ahead(policy.MaxRank) }
+
+// add adds sign times other.
+func (b *byRank) add(other *byRank, sign int) {
+	for rank, n := range other {
+		b[rank] += sign * n
+	}
+}
+
+func (b *byRank) wire() []uint32 {
+	var w []uint32
+	for rank, n := range b {
 		if n > 0 {
-			w.PromptTokens = append(w.PromptTokens, make([]uint32, rank+1-len(w.PromptTokens))...)
-			w.PromptTokens[rank] = uint32(n)
+			w = append(w, make([]uint32, rank+1-len(w))...)
+			w[rank] = uint32(n)
 		}
 	}
 	return w
 }
 
+func byRankOf(w []uint32) (b byRank) {
+	for rank, n := range w {
+		b[min(rank, policy.MaxRank)] += int(n)
+	}
+	return b
+}
+
+// load is unfinished work at a target: the requests, the part of their prompts
+// that is not read yet, and the memory that they may take.
+type load struct {
+	requests, prompt, kv byRank
+}
+
+func (l *load) add(o *load) {
+	l.requests.add(&o.requests, 1)
+	l.prompt.add(&o.prompt, 1)
+	l.kv.add(&o.kv, 1)
+}
+
+// wire returns what peers are told.
+func (l *load) wire(target string) *meshpb.Load {
+	return &meshpb.Load{Target: target, Requests: l.requests.wire(), PromptTokens: l.prompt.wire(), KvTokens: l.kv.wire()}
+}
+
 // loadOf returns what a peer has told.
 func loadOf(w *meshpb.Load) load {
-	l := load{requests: int(w.GetRequests()), kvTokens: int(w.GetKvTokens())}
-	for rank, n := range w.GetPromptTokens() {
-		l.prompt[min(rank, policy.MaxRank)] += int(n)
+	return load{
+		requests: byRankOf(w.GetRequests()),
+		prompt:   byRankOf(w.GetPromptTokens()),
+		kv:       byRankOf(w.GetKvTokens()),
 	}
-	return l
 }
--- a/internal/serving/fleetview/ticket.go
+++ b/internal/serving/fleetview/ticket.go
@@ -25,8 +25,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := &Ticket{v: v, model: w.Model, adapter: w.Adapter, expected: c.Expected, began: now}
-	t.load = load{requests: 1, kvTokens: w.PromptTokens + w.AnswerTokens}
+	t.load.requests[w.Rank] = 1
 	t.load.prompt[w.Rank] = max(0, w.PromptTokens-c.Cached)
+	t.load.kv[w.Rank] = w.PromptTokens + w.AnswerTokens
 	t.state = v.targets[c.Target.ID]
 	if t.state == nil {
 		t.state = newState(c.Target) // gone meanwhile; the sending will fail
@@ -51,19 +52,13 @@
 		return
 	}
 	t.read = true
-	t.promptRead()
+	t.state.own.prompt.add(&t.load.prompt, -1)
 	t.state.downFor = 0
 	if t.expected > 0 {
 		t.state.observePace(t.state.currentPace(t.began)*float64(now.Sub(t.began))/float64(t.expected), now)
 	}
 }
 
-func (t *Ticket) promptRead() {
-	for rank, n := range t.load.prompt {
-		t.state.own.prompt[rank] -= n
-	}
-}
-
 // End takes the request off the target. failed tells that the target has
 // failed it.
 func (t *Ticket) End(failed bool, now time.Time) {
@@ -74,10 +69,10 @@
 	}
 	t.ended = true
 	if !t.read {
-		t.promptRead()
+		t.state.own.prompt.add(&t.load.prompt, -1)
 	}
-	t.state.own.requests -= t.load.requests
-	t.state.own.kvTokens -= t.load.kvTokens
+	t.state.own.requests.add(&t.load.requests, -1)
+	t.state.own.kv.add(&t.load.kv, -1)
 	t.state.observe(failed, now)
 }
 
