Know which adapters answer requests, instead of guessing from their work

Shorter times alone unloaded adapters that still answered, which blocks the engine for other orders until they end. VMs now tell the planner how many requests run and when the last one began. Adapter orders to engines that load a model were tried as well: the engines refuse them.

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -177,6 +177,10 @@
 	j.log(now).Info("request sent", "target", c.Target.ID, "attempt", j.sends, "expected_ms", c.Expected.Milliseconds(),
 		"cached_tokens", c.Cached, "cost", j.cost, "candidates", c.Candidates, "left_ms", left.Milliseconds())
 	ticket := f.View.Begin(&c, &j.want, now)
+	if j.pool.Engine != nil {
+		f.Placer.Running(j.pool.Name, j.r.Model, j.r.Adapter, 1)
+		defer f.Placer.Running(j.pool.Name, j.r.Model, j.r.Adapter, -1)
+	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j.watch(&c, left, cancel)
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -27,6 +27,8 @@
 type Placer interface {
 	// Asked counts a request for weights; waits tells that no engine has them.
 	Asked(pool, model, adapter string, tokens int, waits bool)
+	// Running counts a request that was sent, by 1, or has ended, by -1.
+	Running(pool, model, adapter string, change int)
 	// Bring asks for an engine with an adapter and returns its id, empty if
 	// none can be had now.
 	Bring(ctx context.Context, pool, model, adapter string) (string, error)
--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -88,6 +88,8 @@
 	view  *fleetview.View
 	brief string
 	asked int
+	// running must be zero again when all requests have ended.
+	running int
 }
 
 func (s *shelf) Asked(_, _, _ string, _ int, waits bool) {
@@ -96,6 +98,8 @@
 	}
 }
 
+func (s *shelf) Running(_, _, _ string, change int) { s.running += change }
+
 func (s *shelf) Bring(_ context.Context, _, model, adapter string) (string, error) {
 	if s.brief == "" {
 		return "", errors.New("no VM holds the order duty")
@@ -299,6 +303,14 @@
 		Expect(sender.attempts).To(HaveLen(3))
 	})
 
+	It("counts as running at its engine until it ends, however it ends", func() {
+		sender.replies = []reply{{status: 200, body: events("1")}, {err: errReset}, {status: 200, body: events("1"), breaks: true}}
+		for range 3 {
+			_, _, _ = ask("/once/1")
+		}
+		Expect(placer.running).To(BeZero())
+	})
+
 	It("streams whole events", func() {
 		sender.replies = []reply{{status: 200, body: events("1", "2", "3")}}
 		w, _, err := ask("/draft/1")
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -176,9 +176,15 @@
 		}
 		for _, w := range p.Digest.GetWeights() {
 			k := weightsdemand.Key{Pool: w.GetPool(), Model: w.GetModel(), Adapter: w.GetAdapter()}
-			l := total[k]
-			l.TokensPerSecond += float64(w.GetTokensPerSecond())
-			l.Waiting += int(w.GetWaiting())
+			l := weightsdemand.Level{
+				TokensPerSecond: float64(w.GetTokensPerSecond()),
+				Waiting:         int(w.GetWaiting()),
+				Running:         int(w.GetRunning()),
+				Idle:            time.Duration(w.GetIdleMs())*time.Millisecond + now.Sub(p.Heard),
+			}
+			if own, ok := total[k]; ok {
+				l = own.Join(l)
+			}
 			total[k] = l
 		}
 	}
@@ -223,7 +229,7 @@
 	for k, level := range n.demand.Levels(now) {
 		d.Weights = append(d.Weights, &meshpb.WeightsDemand{
 			Pool: k.Pool, Model: k.Model, Adapter: k.Adapter,
-			TokensPerSecond: float32(level.TokensPerSecond), Waiting: uint32(level.Waiting),
+			TokensPerSecond: float32(level.TokensPerSecond), Waiting: uint32(level.Waiting), IdleMs: uint32(level.Idle.Milliseconds()), Running: uint32(max(0, level.Running)),
 		})
 	}
 	return d
@@ -429,6 +435,14 @@
 	n.demand.Asked(weightsdemand.Key{Pool: pool, Model: model, Adapter: adapter}, tokens, waits, n.clock.Now())
 }
 
+// Running implements forward.Placer.
+func (p placer) Running(pool, model, adapter string, change int) {
+	n := p.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.demand.Running(weightsdemand.Key{Pool: pool, Model: model, Adapter: adapter}, change, n.clock.Now())
+}
+
 // bringTimeout bounds the wait for an adapter; a load takes some milliseconds
 // once the engine has accepted it.
 const bringTimeout = 500 * time.Millisecond
--- a/internal/serving/orderdesk/adapter.go
+++ b/internal/serving/orderdesk/adapter.go
@@ -29,6 +29,7 @@
 	key := adapterKey(model, adapter)
 	e := d.adapterHome(pool, model, key)
 	if e == nil {
+		d.notBrought(pool, model, adapter, "no engine of the model takes orders")
 		return ""
 	}
 	e.mu.Lock()
@@ -39,6 +40,7 @@
 		return e.target.ID
 	}
 	if !unsure && !d.makePlace(ctx, term, pool.Engine, e) {
+		d.notBrought(pool, model, adapter, "all places for adapters are in use")
 		return ""
 	}
 	switch d.order(ctx, term, e, target.Order{Operation: target.Load, Model: model, Adapter: adapter}) {
@@ -58,6 +60,35 @@
 	return ""
 }
 
+// notBrought logs why an adapter cannot be had, with the state of the engines
+// that hold its model.
+func (d *Desk) notBrought(pool *policy.Pool, model, adapter, reason string) {
+	now := d.Clock.Now()
+	holding, busy, blocked, adapters := 0, 0, 0, 0
+	d.mu.Lock()
+	for _, e := range d.engines {
+		if e.target.Pool != pool.Name || !e.mu.TryLock() {
+			continue
+		}
+		if e.report != nil {
+			if _, ok := e.report.Weights.Find(model); ok {
+				holding++
+				adapters += len(e.adapters())
+				if e.report.Busy {
+					busy++
+				}
+				if now.Before(e.blockedUntil) {
+					blocked++
+				}
+			}
+		}
+		e.mu.Unlock()
+	}
+	d.mu.Unlock()
+	d.Logger.Info("adapter not brought", "model", model, "adapter", adapter, "reason", reason,
+		"engines", holding, "busy", busy, "blocked", blocked, "adapters", adapters)
+}
+
 // adapterHome chooses the engine for an adapter: one that has it, else the
 // one with the most free places, and of these the least busy.
 func (d *Desk) adapterHome(pool *policy.Pool, model, key string) *engine {
@@ -145,11 +176,7 @@
 	return e.freePlaces(spec) > 0
 }
 
-// usedAbove is the work in tokens a second above which an adapter counts as
-// in use; a single request falls below it after some seconds.
-const usedAbove = 100.0
-
-// Used notes which adapters requests ask for.
+// Used notes when requests last asked for adapters, and which ones answer.
 func (d *Desk) Used(levels map[weightsdemand.Key]weightsdemand.Level) {
 	now := d.Clock.Now()
 	d.mu.Lock()
@@ -159,8 +186,15 @@
 			continue
 		}
 		for k, l := range levels {
-			if k.Adapter != "" && k.Pool == e.target.Pool && l.TokensPerSecond > usedAbove {
-				e.used[adapterKey(k.Model, k.Adapter)] = now
+			if k.Adapter == "" || k.Pool != e.target.Pool {
+				continue
+			}
+			key, at := adapterKey(k.Model, k.Adapter), now.Add(-l.Idle)
+			if l.Running > 0 {
+				at = now
+			}
+			if at.After(e.used[key]) {
+				e.used[key] = at
 			}
 		}
 		e.mu.Unlock()
--- a/internal/serving/orderdesk/engine.go
+++ b/internal/serving/orderdesk/engine.go
@@ -16,8 +16,8 @@
 	// engine to the order: a digest and the way of a request.
 	leaveNotice = 500 * time.Millisecond
 	// adapterUse is how long an adapter counts as in use after its last
-	// request was seen; it covers the answers of today's models.
-	adapterUse = 2500 * time.Millisecond
+	// request began or ended; it covers the digest that tells of the next one.
+	adapterUse = 700 * time.Millisecond
 )
 
 // move is a model's load or unload that no report has shown yet.
--- a/internal/serving/weightsdemand/weightsdemand.go
+++ b/internal/serving/weightsdemand/weightsdemand.go
@@ -28,6 +28,20 @@
 	// no engine could take.
 	TokensPerSecond float64
 	Waiting         int
+	// Running counts requests that were sent and have not ended.
+	Running int
+	// Idle is the time since the last request.
+	Idle time.Duration
+}
+
+// Join returns the level of two VMs together.
+func (l Level) Join(o Level) Level {
+	return Level{
+		TokensPerSecond: l.TokensPerSecond + o.TokensPerSecond,
+		Waiting:         l.Waiting + o.Waiting,
+		Running:         l.Running + o.Running,
+		Idle:            min(l.Idle, o.Idle),
+	}
 }
 
 // Meter measures the demand at one VM. It is not safe for concurrent use.
@@ -38,6 +52,8 @@
 type count struct {
 	rate    float64
 	at      time.Time
+	asked   time.Time
+	running int
 	waiting []time.Time
 }
 
@@ -46,12 +62,9 @@
 
 // Asked counts a request; waits tells that no engine could take it.
 func (m *Meter) Asked(k Key, tokens int, waits bool, now time.Time) {
-	c := m.counts[k]
-	if c == nil {
-		c = &count{at: now}
-		m.counts[k] = c
-	}
+	c := m.count(k, now)
 	c.decay(now)
+	c.asked = now
 	if waits {
 		c.waiting = append(c.waiting, now)
 		return
@@ -59,6 +72,20 @@
 	c.rate += float64(tokens) / timeConstant.Seconds()
 }
 
+// Running counts a request that was sent, by 1, or has ended, by -1.
+func (m *Meter) Running(k Key, change int, now time.Time) {
+	m.count(k, now).running += change
+}
+
+func (m *Meter) count(k Key, now time.Time) *count {
+	c := m.counts[k]
+	if c == nil {
+		c = &count{at: now, asked: now}
+		m.counts[k] = c
+	}
+	return c
+}
+
 func (c *count) decay(now time.Time) {
 	c.rate *= math.Exp(-max(0, now.Sub(c.at).Seconds()) / timeConstant.Seconds())
 	c.at = now
@@ -72,11 +99,11 @@
 	levels := make(map[Key]Level, len(m.counts))
 	for k, c := range m.counts {
 		c.decay(now)
-		if c.rate < forgetBelow && len(c.waiting) == 0 {
+		if c.rate < forgetBelow && len(c.waiting) == 0 && c.running == 0 {
 			delete(m.counts, k)
 			continue
 		}
-		levels[k] = Level{TokensPerSecond: c.rate, Waiting: len(c.waiting)}
+		levels[k] = Level{TokensPerSecond: c.rate, Waiting: len(c.waiting), Running: c.running, Idle: now.Sub(c.asked)}
 	}
 	return levels
 }
--- a/internal/serving/weightsdemand/weightsdemand_test.go
+++ b/internal/serving/weightsdemand/weightsdemand_test.go
@@ -34,6 +34,28 @@
 		Expect(m.Levels(start.Add(time.Minute))).To(BeEmpty())
 	})
 
+	It("tells when weights were last asked for, over several VMs", func() {
+		m := weightsdemand.New()
+		m.Asked(key, 1000, false, start)
+		m.Asked(key, 1000, true, start.Add(time.Second))
+		level := m.Levels(start.Add(1500 * time.Millisecond))[key]
+		Expect(level.Idle).To(Equal(500 * time.Millisecond))
+		joined := level.Join(weightsdemand.Level{TokensPerSecond: 1, Waiting: 1, Running: 2, Idle: time.Second})
+		Expect(joined.Idle).To(Equal(500 * time.Millisecond))
+		Expect(joined.Waiting).To(Equal(2))
+		Expect(joined.Running).To(Equal(2))
+		Expect(joined.TokensPerSecond).To(Equal(level.TokensPerSecond + 1))
+	})
+
+	It("counts running requests until they end", func() {
+		m := weightsdemand.New()
+		m.Asked(key, 1000, false, start)
+		m.Running(key, 1, start)
+		Expect(m.Levels(start.Add(time.Minute))[key].Running).To(Equal(1))
+		m.Running(key, -1, start.Add(time.Minute))
+		Expect(m.Levels(start.Add(time.Minute))).To(BeEmpty())
+	})
+
 	It("counts waiting requests for a while", func() {
 		m := weightsdemand.New()
 		m.Asked(key, 1000, true, start)
