--- a/internal/serving/orderdesk/adapter.go
+++ b/internal/serving/orderdesk/adapter.go
@@ -29,7 +29,7 @@
 	key := adapterKey(model, adapter)
 	e := d.adapterHome(pool, model, key)
 	if e == nil {
-		d.notBrought(pool, model, adapter, "no engine of the model takes orders")
+		d.Logger.Info("adapter not brought, no engine of the model takes orders", "model", model, "adapter", adapter)
 		return ""
 	}
 	e.mu.Lock()
@@ -40,7 +40,8 @@
 		return e.target.ID
 	}
 	if !unsure && !d.makePlace(ctx, term, pool.Engine, e) {
-		d.notBrought(pool, model, adapter, "all places for adapters are in use")
+		d.Logger.Info("adapter not brought, all places are in use", "model", model, "adapter", adapter,
+			"engine", e.target.ID, "adapters", len(e.adapters()), "report_age_ms", d.Clock.Since(e.asked).Milliseconds())
 		return ""
 	}
 	switch d.order(ctx, term, e, target.Order{Operation: target.Load, Model: model, Adapter: adapter}) {
@@ -60,35 +61,6 @@
 	return ""
 }
 
-// notBrought logs why an adapter cannot be had, with the state of the engines
-// that hold its model.
-func (d *Desk) notBrought(pool *policy.Pool, model, adapter, reason string) {
-	now := d.Clock.Now()
-	holding, busy, blocked, adapters := 0, 0, 0, 0
-	d.mu.Lock()
-	for _, e := range d.engines {
-		if e.target.Pool != pool.Name || !e.mu.TryLock() {
-			continue
-		}
-		if e.report != nil {
-			if _, ok := e.report.Weights.Find(model); ok {
-				holding++
-				adapters += len(e.adapters())
-				if e.report.Busy {
-					busy++
-				}
-				if now.Before(e.blockedUntil) {
-					blocked++
-				}
-			}
-		}
-		e.mu.Unlock()
-	}
-	d.mu.Unlock()
-	d.Logger.Info("adapter not brought", "model", model, "adapter", adapter, "reason", reason,
-		"engines", holding, "busy", busy, "blocked", blocked, "adapters", adapters)
-}
-
 // adapterHome chooses the engine for an adapter: one that has it, else the
 // one with the most free places, and of these the least busy.
 func (d *Desk) adapterHome(pool *policy.Pool, model, key string) *engine {
