Follow the store with one VM a data centre, 400 ms between polls

Cause: the list of targets changes all the time on a site of 90 engines, and two readers a data centre polled it four times a second each: most of the calls to the platform, the third price of the grown sites.

--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -331,8 +331,9 @@
 }
 
 // readersPerDataCentre is the number of VMs of a data centre that follow the
-// store; the others hear of changes from them.
-const readersPerDataCentre = 2
+// store; the others hear of changes from them. Those of other data centres
+// stand in for one that has died and still counts as live.
+const readersPerDataCentre = 1
 
 // reads reports whether this VM follows the store: it is among the first of
 // its data centre that reach it.
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -21,8 +21,9 @@
 	// is noticed after it; peers tell of changes meanwhile.
 	followWait = 4 * time.Second
 	// followGap is the least time between two polls, so that a table that
-	// changes all the time does not cost a call for each change.
-	followGap = 250 * time.Millisecond
+	// changes all the time does not cost a call for each change; operators
+	// allow two seconds from a change to its effect.
+	followGap = 400 * time.Millisecond
 	// heldWait bounds a long poll while rows are held, so that they are
 	// dropped in time.
 	heldWait = 300 * time.Millisecond
