--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -22,7 +22,7 @@
 
 // heapGrowth is the garbage collector's target in per cent: memory at its
 // peak costs more on the platform than the processor time of collecting.
-const heapGrowth = 60
+const heapGrowth = 30
 
 // memoryShare is the part of the process's memory limit at which the garbage
 // collector works harder; above the limit the platform kills the process.
