Soak node processes under faults; take SIGHUP from the start

The soak runs real nodes against stand-ins of store, services and engines that speak the platform's pages, through proxies that freeze, refuse, delay, drop and cut, with kills, stops, restarts, SIGHUP, store failures, crashed targets and new configurations in overlapping series. It checks once-only requests, true refusals, whole and own answers, order turns, engine memory, withdrawn keys and recovery. A SIGHUP in the first milliseconds of a process ended it, since its receiver came late; it is now the first thing.

--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -33,6 +33,11 @@
 // Execute runs a node on the users' platform until SIGTERM or SIGINT.
 func (c *nodeCommand) Execute([]string) error {
 	debug.SetGCPercent(heapGrowth)
+	// A settings file may change while the process starts; without a receiver
+	// the signal would end it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	path := os.Getenv(platform.SettingsVariable)
 	cfg, err := platform.ReadSettings(path)
 	if err != nil {
@@ -60,7 +65,7 @@
 	}
 	ctx, stop := signalContext()
 	defer stop()
-	go followSettings(ctx, path, cfg, n, logger)
+	go followSettings(ctx, hangup, path, cfg, n, logger)
 	return n.Run(ctx)
 }
 
@@ -69,10 +74,7 @@
 const settingsInterval = 5 * time.Second
 
 // followSettings reads the settings again on SIGHUP, and when they change.
-func followSettings(ctx context.Context, path string, last *machine.Settings, n *node.Node, logger hclog.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func followSettings(ctx context.Context, hangup <-chan os.Signal, path string, last *machine.Settings, n *node.Node, logger hclog.Logger) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/tests/soak/store_test.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/storestandin"
+)
+
+// store speaks the platform's pages over an in-memory store.
+type store struct{ rows *storestandin.Store }
+
+var tables = map[string]rowstore.Table{
+	"op": rowstore.Policies, "servers": rowstore.Targets,
+	"pier-members": rowstore.Members, "pier-duties": rowstore.Duties,
+}
+
+// operatorKey is the store's key of the configuration.
+const operatorKey = "config"
+
+type wireRow struct {
+	Part      string `json:"part"`
+	Table     string `json:"table,omitzero"`
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitzero"`
+	Ver       int64  `json:"ver"`
+	Tombstone bool   `json:"tombstone,omitzero"`
+}
+
+type wirePage struct {
+	Rows  []wireRow `json:"rows"`
+	Ver   int64     `json:"ver"`
+	NowMS float64   `json:"now_ms"`
+}
+
+func (s *store) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rows-get", func(w http.ResponseWriter, r *http.Request) {
+		page, err := s.rows.List(r.Context(), tables[r.URL.Query().Get("table")])
+		s.answer(w, r.URL.Query().Get("table"), page, err)
+	})
+	mux.HandleFunc("GET /rows-feed", func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+		page, err := s.rows.Follow(r.Context(), tables[r.URL.Query().Get("table")], after, time.Duration(wait)*time.Millisecond)
+		s.answer(w, r.URL.Query().Get("table"), page, err)
+	})
+	mux.HandleFunc("POST /rows-tx", s.transact)
+	return mux
+}
+
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expected []wireRow `json:"expected"`
+		Puts     []wireRow `json:"puts"`
+		Remove   []wireRow `json:"remove"`
+	}
+	if err := json.UnmarshalRead(r.Body, &body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	expect := map[string]int64{}
+	for _, row := range body.Expected {
+		expect[row.Table+"/"+row.Key] = row.Ver
+	}
+	var writes []rowstore.Write
+	add := func(row wireRow, remove bool) {
+		ver, ok := expect[row.Table+"/"+row.Key]
+		if !ok {
+			ver = rowstore.AnyVersion
+		}
+		writes = append(writes, rowstore.Write{Table: tables[row.Table], Key: row.Key, Expect: ver, Value: row.Value, Delete: remove})
+	}
+	for _, row := range body.Puts {
+		add(row, false)
+	}
+	for _, row := range body.Remove {
+		add(row, true)
+	}
+	result, err := s.rows.Write(context.WithoutCancel(r.Context()), writes...)
+	page := rowstore.Page{Rows: result.Current, Version: result.Version, Time: result.Time}
+	if err == nil && !result.Applied {
+		s.write(w, http.StatusPreconditionFailed, "", page)
+		return
+	}
+	s.answer(w, "", page, err)
+}
+
+func (s *store) answer(w http.ResponseWriter, table string, page rowstore.Page, err error) {
+	switch {
+	case err == nil:
+		s.write(w, http.StatusOK, table, page)
+	case errors.Is(err, rowstore.ErrHistoryGone):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, rowstore.ErrRefused):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler) // no answer
+	}
+}
+
+func (s *store) write(w http.ResponseWriter, status int, table string, page rowstore.Page) {
+	out := wirePage{Rows: []wireRow{}, Ver: page.Version, NowMS: float64(page.Time) / float64(time.Millisecond)}
+	for _, r := range page.Rows {
+		row := wireRow{Key: r.Key, Value: r.Value, Ver: r.Version, Tombstone: r.Deleted}
+		if table == "op" && r.Key == rowstore.PolicyKey {
+			row.Key = operatorKey
+		}
+		out.Rows = append(out.Rows, row)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.MarshalWrite(w, &out)
+}
--- /dev/null
+++ b/tests/soak/target_test.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
+)
+
+const (
+	modelMB       = 70
+	engineMB      = 200
+	loadTime      = 300 * time.Millisecond
+	slots         = 8
+	leaseGap      = 3 * time.Second
+	healed        = 300 * time.Millisecond // orders on their way when a VM was thawed do not count
+	eventInterval = 20 * time.Millisecond
+	events        = 8
+)
+
+// target is one incarnation of a plain service or of an engine, behind a proxy.
+type target struct {
+	w       *world
+	id      string
+	pool    string
+	born    int64
+	server  *httptest.Server
+	proxy   *faultproxy.Proxy
+	mu      sync.Mutex
+	models  []string
+	loading string
+	seq     int64
+	// holder sent the last order, at a time.
+	holder   string
+	orderAt  time.Time
+	draining bool
+}
+
+// serve runs one request and notes it.
+func (t *target) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Fireflypier-Request-Id")
+	switch {
+	case r.URL.Path == "/report":
+		t.report(w)
+		return
+	case r.Header.Get("Fireflypier-Expect-Instance") != t.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case r.URL.Path == "/order":
+		t.order(w, r)
+		return
+	case r.Header.Get("Authorization") != "":
+		t.w.broken("%s was shown the key of request %s", t.id, id)
+	}
+	if model := r.Header.Get("Fireflypier-Model"); model != "" && !t.holds(model) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	t.w.ran(id, t.id)
+	w.Header().Set("Fireflypier-Request-Id", id)
+	w.Header().Set("Fireflypier-Server-Seal", "seal-"+t.id)
+	if t.pool != "engines" {
+		time.Sleep(10 * time.Millisecond)
+		_, _ = fmt.Fprintf(w, "answer %s", id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := 1; i <= events; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, id)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(eventInterval)
+	}
+}
+
+func (t *target) holds(model string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *target) report(w http.ResponseWriter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	body := struct {
+		Models []held `json:"models"`
+		Busy   bool   `json:"busy"`
+		Seq    int64  `json:"seq"`
+		Born   int64  `json:"born"`
+	}{Models: []held{}, Busy: t.loading != "", Seq: t.seq, Born: t.born}
+	for _, m := range t.models {
+		body.Models = append(body.Models, held{Name: m, Version: 1})
+	}
+	_ = json.MarshalWrite(w, &body)
+}
+
+type held struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+}
+
+// order carries an order out and checks that holders keep apart and that no
+// model is loaded without memory.
+func (t *target) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Operation string `json:"operation"`
+		Model     string `json:"model"`
+		Expected  int64  `json:"expected"`
+		Holder    string `json:"holder"`
+	}
+	if err := json.UnmarshalRead(r.Body, &o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	if t.holder != "" && t.holder != o.Holder && now.Sub(t.orderAt) < leaseGap && !t.w.justThawed(now) {
+		t.w.broken("%s got orders of %s and %s within %s", t.id, t.holder, o.Holder, now.Sub(t.orderAt))
+	}
+	t.holder, t.orderAt = o.Holder, now
+	if t.loading != "" || o.Expected != t.seq {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	t.seq++
+	if o.Operation == "unload" {
+		for i, m := range t.models {
+			if m == o.Model {
+				t.models = append(t.models[:i], t.models[i+1:]...)
+				break
+			}
+		}
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	if (len(t.models)+1)*modelMB > engineMB {
+		t.w.broken("%s was ordered to load %s beside %v", t.id, o.Model, t.models)
+	}
+	t.loading = o.Model
+	time.AfterFunc(loadTime, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.models, t.loading = append(t.models, t.loading), ""
+		t.w.putRow(t)
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// row is the target's entry in the store. The target's mutex is held, or nobody
+// else knows it.
+func (t *target) row() []byte {
+	var models []string
+	for _, m := range t.models {
+		models = append(models, fmt.Sprintf(`{"name":%q,"version":1,"adapters":[]}`, m))
+	}
+	state := "ready"
+	if t.draining {
+		state = "draining"
+	}
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","version":"v1","slots":%d,"state":%q,"cold_left_ms":0,"seq":%d,"born":%d,"models":[%s]}`,
+		t.pool, t.proxy.Addr(), slots, state, t.seq, t.born, strings.Join(models, ","))
+}
--- /dev/null
+++ b/tests/soak/world_test.go
@@ -0,0 +1,251 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/storestandin"
+)
+
+// world is a site: real node processes between callers and stand-ins.
+type world struct {
+	dir     string
+	program string
+	rand    *rand.Rand
+	rows    *storestandin.Store
+	storeAt netip.AddrPort
+	nodes   []*node
+	closing atomic.Bool
+
+	mu      sync.Mutex
+	targets map[string]*target
+	next    int
+	// runs lists where each request ran.
+	runs     map[string][]string
+	findings []string
+	thawed   time.Time
+}
+
+// node is one VM: its process comes and goes.
+type node struct {
+	name  string
+	ip    netip.Addr
+	proxy *faultproxy.Proxy
+	file  string
+	// restarting tells that the process is being replaced.
+	restarting atomic.Bool
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// signal sends a signal to the node's present process and returns what is
+// closed when that has ended. A process that has ended gets none.
+func (n *node) signal(sig syscall.Signal) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(sig)
+	return n.ended
+}
+
+func newWorld(dir, program string, r *rand.Rand, network byte, nodes int) *world {
+	w := &world{
+		dir: dir, program: program, rand: r, rows: storestandin.New(clockwork.NewRealClock()),
+		targets: map[string]*target{}, runs: map[string][]string{},
+	}
+	server := httptest.NewServer((&store{w.rows}).handler())
+	w.storeAt = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	w.publish(1, `key-1","key-2`)
+	for range 3 {
+		w.startTarget("plain")
+		w.startTarget("engines")
+	}
+	for i := range nodes {
+		proxy, err := faultproxy.Start(w.storeAt)
+		Expect(err).NotTo(HaveOccurred())
+		n := &node{name: fmt.Sprintf("vm-%d", i), ip: netip.AddrFrom4([4]byte{127, 0, network, byte(i + 1)}), proxy: proxy}
+		w.nodes = append(w.nodes, n)
+		w.configure(n)
+		w.start(n)
+	}
+	return w
+}
+
+func (n *node) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(n.ip, port) }
+func (n *node) front() netip.AddrPort         { return n.at(18221) }
+
+// configure writes a node's settings file.
+func (w *world) configure(n *node) {
+	n.file = filepath.Join(w.dir, n.name+".yaml")
+	seed := w.nodes[0].at(18229)
+	text := fmt.Sprintf(`node: %s
+ip: %s
+zone: a
+listen: {front: "%s", ready: "%s", directory: "%s", control: "%s"}
+internal_ports: [17600, 17615]
+seeds: ["%s"]
+limits: {memory_mb: 284}
+bounds: {grace_s: 4, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52, quota_window_s: 8, quota_overage: 0.1, quota_slack: 110000, lease_ms: 3000, ttl_max_s: 5}
+platform: {address: "%s"}
+`, n.name, n.ip, n.front(), n.at(18224), n.at(18220), n.at(18229), seed, n.proxy.Addr())
+	Expect(os.WriteFile(n.file, []byte(text), 0o600)).To(Succeed())
+}
+
+func (w *world) start(n *node) {
+	log, err := os.OpenFile(filepath.Join(w.dir, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	cmd := exec.Command(w.program, "node")
+	cmd.Env = append(os.Environ(), "FIREFLYPIER_CONFIG="+n.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	Expect(cmd.Start()).To(Succeed())
+	ended := make(chan struct{})
+	n.mu.Lock()
+	n.cmd, n.ended = cmd, ended
+	n.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		_ = log.Close()
+		w.note("%s has ended: %v", n.name, err)
+		close(ended)
+		if !n.restarting.Load() && !w.closing.Load() {
+			time.Sleep(restartDelay)
+			w.start(n) // as the platform does
+		}
+	}()
+}
+
+// restartDelay is the time until the platform starts a process again.
+const restartDelay = 200 * time.Millisecond
+
+// endTimeout is twice the grace time.
+const endTimeout = 8 * time.Second
+
+// end ends a node's process by a signal and waits for it.
+func (n *node) end(sig syscall.Signal) {
+	ended := n.signal(sig)
+	select {
+	case <-ended:
+	case <-time.After(endTimeout):
+		<-n.signal(syscall.SIGKILL)
+	}
+}
+
+func (w *world) close() {
+	w.closing.Store(true)
+	for _, n := range w.nodes {
+		n.end(syscall.SIGKILL)
+		n.proxy.Close()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.targets {
+		t.proxy.Close()
+	}
+}
+
+func (w *world) startTarget(pool string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	t := &target{w: w, id: fmt.Sprintf("i-%d", w.next), pool: pool, born: time.Now().UnixMilli()}
+	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
+	var err error
+	t.proxy, err = faultproxy.Start(netip.MustParseAddrPort(t.server.Listener.Addr().(*net.TCPAddr).String()))
+	Expect(err).NotTo(HaveOccurred())
+	w.targets[t.id] = t
+	w.rows.Put(rowstore.Targets, t.id, t.row())
+}
+
+// putRow writes a target's entry unless the target is gone. The target's mutex
+// is held.
+func (w *world) putRow(t *target) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.targets[t.id] == t {
+		w.rows.Put(rowstore.Targets, t.id, t.row())
+	}
+}
+
+// stopTarget crashes a target; its entry lapses later.
+func (w *world) stopTarget(pool string) {
+	w.mu.Lock()
+	var t *target
+	for _, o := range w.targets {
+		if o.pool == pool && (t == nil || o.id < t.id) {
+			t = o
+		}
+	}
+	delete(w.targets, t.id)
+	w.mu.Unlock()
+	t.proxy.Close()
+	t.server.CloseClientConnections()
+	time.AfterFunc(1500*time.Millisecond, func() { w.rows.Delete(rowstore.Targets, t.id) })
+	time.AfterFunc(2*time.Second, func() { w.startTarget(pool) })
+}
+
+func (w *world) publish(version int, key string) {
+	w.rows.Put(rowstore.Policies, rowstore.PolicyKey, fmt.Appendf(nil, `{"version":%[1]d,"routes":[
+ {"name":"look","hostname":"h.example","prefix":"/look/","type":"safe","timeout_ms":2000,"target_latency_ms":150,"service":"plain","max_attempts":2},
+ {"name":"buy","hostname":"h.example","prefix":"/buy/","type":"unsafe","timeout_ms":2000,"target_latency_ms":150,"service":"plain","max_attempts":1},
+ {"name":"draft","hostname":"h.example","prefix":"/draft/","type":"streaming","timeout_ms":5000,"target_latency_ms":800,"gap_aim_ms":300,"service":"engines","max_attempts":2,"resumable":false}],
+ "services":[{"name":"plain","max_conns":90},{"name":"engines","max_conns":90,"engine":{"slots":%[2]d,"kv_tokens":200000,"weights_mb":%[3]d,"adapter_slots":0,"loads_per_s":5,
+ "models":[{"name":"m1","weights_mb":%[4]d,"load_s":0.3},{"name":"m2","weights_mb":%[4]d,"load_s":0.3},{"name":"m3","weights_mb":%[4]d,"load_s":0.3}]}}],
+ "limits":{"max_body_bytes":100000},"tenants":[{"name":"c","api_keys":["%[5]s"]}]}`, version, slots, engineMB, modelMB, key))
+}
+
+// note writes a line to the file events.log, with the time of the nodes' logs.
+func (w *world) note(format string, args ...any) {
+	f, err := os.OpenFile(filepath.Join(w.dir, "events.log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = f.Close() }()
+	_, _ = fmt.Fprintf(f, "%s %s\n", time.Now().UTC().Format(time.RFC3339Nano), fmt.Sprintf(format, args...))
+}
+
+func (w *world) broken(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.findings = append(w.findings, fmt.Sprintf(format, args...))
+}
+
+func (w *world) ran(id, where string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[id] = append(w.runs[id], where)
+}
+
+func (w *world) runsOf(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs[id])
+}
+
+func (w *world) justThawed(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.thawed) < healed
+}
+
+func (w *world) thaw(n *node) {
+	w.mu.Lock()
+	w.thawed = time.Now()
+	w.mu.Unlock()
+	n.signal(syscall.SIGCONT)
+}
