--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -109,10 +109,11 @@
 }
 
 // reserve returns the gateway of the own region that holds a part of a
-// customer's rate when this one would be the only holder.
+// customer's rate when this one would be the only holder. One that has ended
+// may still be listed.
 func (l *Limiter) reserve(customer string) (h share.Holder, ok bool) {
 	for _, h := range l.parts.Gateways(customer) {
-		if h.Region == l.parts.Self.Region {
+		if h.Region == l.parts.Self.Region && !l.vms.gone(&h) {
 			return h, true
 		}
 	}
