Keep once when an adapter was in use, not once an engine

Every tick wrote the time of each adapter into the account of each engine: 421 adapters times 90 engines and as many keys on the grown sites, and left out the engines that were busy. The time belongs to the adapter; the desk keeps it.

--- a/internal/serving/orderdesk/adapter.go
+++ b/internal/serving/orderdesk/adapter.go
@@ -34,7 +34,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.used[key] = d.Clock.Now()
+	d.use(adapterID{poolName, key}, d.Clock.Now())
 	_, unsure := e.unsure[key]
 	if e.adapters()[key] && !unsure {
 		return e.target.ID
@@ -127,7 +127,7 @@
 		if _, issued := e.issued[key]; issued {
 			continue
 		}
-		used := e.used[key]
+		used := d.usedAt(adapterID{e.target.Pool, key})
 		if now.Sub(used) < adapterUse {
 			continue
 		}
@@ -151,24 +151,29 @@
 // Used notes when requests last asked for adapters, and which ones answer.
 func (d *Desk) Used(levels map[weightsdemand.Key]weightsdemand.Level) {
 	now := d.Clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, e := range d.engines {
-		if !e.mu.TryLock() {
+	for k, l := range levels {
+		if k.Adapter == "" {
 			continue
 		}
-		for k, l := range levels {
-			if k.Adapter == "" || k.Pool != e.target.Pool {
-				continue
-			}
-			key, at := adapterKey(k.Model, k.Adapter), now.Add(-l.Idle)
-			if l.Running > 0 {
-				at = now
-			}
-			if at.After(e.used[key]) {
-				e.used[key] = at
-			}
+		at := now.Add(-l.Idle)
+		if l.Running > 0 {
+			at = now
 		}
-		e.mu.Unlock()
+		d.use(adapterID{k.Pool, adapterKey(k.Model, k.Adapter)}, at)
 	}
 }
+
+// use notes that an adapter was in use at a time.
+func (d *Desk) use(id adapterID, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if at.After(d.used[id]) {
+		d.used[id] = at
+	}
+}
+
+func (d *Desk) usedAt(id adapterID) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.used[id]
+}
--- a/internal/serving/orderdesk/engine.go
+++ b/internal/serving/orderdesk/engine.go
@@ -60,9 +60,8 @@
 	// unsure lists adapters whose loading was not answered, with the number of
 	// accepted orders at which it still takes effect.
 	unsure map[string]int64
-	// since tells since when models are held, used when adapters were asked
-	// for last.
-	since, used map[string]time.Time
+	// since tells since when models are held.
+	since map[string]time.Time
 	// blockedUntil is until when the engine gets no orders.
 	blockedUntil time.Time
 }
@@ -75,7 +74,6 @@
 		dropped: make(map[string]time.Time),
 		unsure:  make(map[string]int64),
 		since:   make(map[string]time.Time),
-		used:    make(map[string]time.Time),
 	}
 }
 
--- a/internal/serving/orderdesk/orderdesk.go
+++ b/internal/serving/orderdesk/orderdesk.go
@@ -84,11 +84,16 @@
 	settled bool
 	engines map[string]*engine
 	busy    map[string]bool
+	// used tells when adapters were asked for last, or answered.
+	used map[adapterID]time.Time
 }
 
+// adapterID names an adapter among all pools; key is its adapterKey.
+type adapterID struct{ pool, key string }
+
 // New returns a desk without accounts.
 func New(p Parts) *Desk {
-	return &Desk{Parts: p, done: make(chan struct{}), permits: newPermits()}
+	return &Desk{Parts: p, done: make(chan struct{}), permits: newPermits(), used: make(map[adapterID]time.Time)}
 }
 
 // Run gives orders while the duty is held, until ctx ends.
@@ -125,6 +130,7 @@
 	d.settled = false
 	d.engines = make(map[string]*engine)
 	d.busy = make(map[string]bool)
+	d.used = make(map[adapterID]time.Time)
 	d.Logger.Info("orders begin", "fence", term.Fence)
 }
 
