Look at live peers in place, and hash each address once

Since demand goes to the planner alone, every digest for a peer asked who holds the order duty, which copied and sorted all peers; the retry budget did so to count them. The sum of the members' hashes was formatted and hashed anew for every digest. Same decisions.

--- a/internal/serving/mesh/membership.go
+++ b/internal/serving/mesh/membership.go
@@ -42,6 +42,8 @@
 	// Digest is its last word; nil if it never spoke.
 	Digest *meshpb.Digest
 
+	// hash is that of the address.
+	hash    uint64
 	liveFor time.Duration
 	added   time.Time
 	dialed  time.Time
@@ -56,8 +58,9 @@
 // membership is the set of known peers. It has no input or output and is not
 // safe for concurrent use.
 type membership struct {
-	self  netip.AddrPort
-	peers map[netip.AddrPort]*Peer
+	self     netip.AddrPort
+	selfHash uint64
+	peers    map[netip.AddrPort]*Peer
 }
 
 // interval returns the time between two digests to one peer. It grows with
@@ -80,12 +83,12 @@
 // begins reports whether this VM is the one of a pair that begins exchanges;
 // the sum of the hashes gives every VM about half of its pairs.
 func (m *membership) begins(p *Peer) bool {
-	odd := (addressHash(m.self)+addressHash(p.Address))&1 == 1
+	odd := (m.selfHash+p.hash)&1 == 1
 	return odd == (m.self.Compare(p.Address) < 0)
 }
 
 func newMembership(self netip.AddrPort) *membership {
-	return &membership{self: self, peers: make(map[netip.AddrPort]*Peer)}
+	return &membership{self: self, selfHash: addressHash(self), peers: make(map[netip.AddrPort]*Peer)}
 }
 
 // add notes a member that was told of; what it says itself comes by hear.
@@ -100,7 +103,7 @@
 		if silent > forgetAfter {
 			return nil
 		}
-		p = &Peer{Address: addr, added: now.Add(-silent)}
+		p = &Peer{Address: addr, hash: addressHash(addr), added: now.Add(-silent)}
 		m.peers[addr] = p
 	}
 	if w.GetIncarnation() > p.Incarnation {
@@ -153,9 +156,9 @@
 
 // hash stands for the addresses of all members.
 func (m *membership) hash() uint64 {
-	sum := addressHash(m.self)
-	for addr := range m.peers {
-		sum += addressHash(addr)
+	sum := m.selfHash
+	for _, p := range m.peers {
+		sum += p.hash
 	}
 	return sum
 }
--- a/internal/serving/mesh/mesh.go
+++ b/internal/serving/mesh/mesh.go
@@ -308,6 +308,26 @@
 	return m.members.sorted()
 }
 
+// Live calls f for every peer that has spoken lately, in no order. f must not
+// keep or change the peer, nor call the mesh.
+func (m *Mesh) Live(f func(p *Peer)) {
+	now := m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.members.peers {
+		if p.Live(now) {
+			f(p)
+		}
+	}
+}
+
+// Size returns the number of known peers.
+func (m *Mesh) Size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members.peers)
+}
+
 // Fetch asks a peer for a table that has changed after a version; ok is false
 // when the peer knows of no such change.
 func (m *Mesh) Fetch(ctx context.Context, addr netip.AddrPort, t rowstore.Table, above int64) (p rowstore.Page, ok bool, err error) {
--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -143,24 +143,22 @@
 	if _, held := n.holder(); held {
 		return false, 0
 	}
-	now := n.clock.Now()
-	for _, p := range n.mesh.Peers() {
-		if p.Live(now) && p.Ready && p.Address.Compare(n.Settings.Peer) < 0 {
+	n.mesh.Live(func(p *mesh.Peer) {
+		if p.Ready && p.Address.Compare(n.Settings.Peer) < 0 {
 			rank++
 		}
-	}
+	})
 	return rank < dutyCandidates, rank
 }
 
 // holder returns the live peer that holds the order duty.
 func (n *Node) holder() (addr netip.AddrPort, ok bool) {
-	now := n.clock.Now()
 	var fence int64
-	for _, p := range n.mesh.Peers() {
-		if p.Live(now) && p.Digest.GetFence() > fence {
+	n.mesh.Live(func(p *mesh.Peer) {
+		if p.Digest.GetFence() > fence {
 			addr, fence = p.Address, p.Digest.GetFence()
 		}
-	}
+	})
 	return addr, fence > 0
 }
 
@@ -170,10 +168,7 @@
 	n.mu.Lock()
 	total := n.demand.Levels(now)
 	n.mu.Unlock()
-	for _, p := range n.mesh.Peers() {
-		if !p.Live(now) {
-			continue
-		}
+	n.mesh.Live(func(p *mesh.Peer) {
 		for _, w := range p.Digest.GetWeights() {
 			k := weightsdemand.Key{Pool: w.GetPool(), Model: w.GetModel(), Adapter: w.GetAdapter()}
 			l := weightsdemand.Level{
@@ -187,7 +182,7 @@
 			}
 			total[k] = l
 		}
-	}
+	})
 	return total
 }
 
@@ -338,14 +333,13 @@
 // reads reports whether this VM follows the store: it is among the first of
 // its data centre that reach it.
 func (n *Node) reads() bool {
-	now := n.clock.Now()
 	before := 0
-	for _, p := range n.mesh.Peers() {
-		if p.DataCentre == n.Settings.DataCentre && p.Live(now) && p.Ready && !p.Leaving && !p.Digest.GetStoreFails() &&
+	n.mesh.Live(func(p *mesh.Peer) {
+		if p.DataCentre == n.Settings.DataCentre && p.Ready && !p.Leaving && !p.Digest.GetStoreFails() &&
 			p.Address.Compare(n.Settings.Peer) < 0 {
 			before++
 		}
-	}
+	})
 	return before < readersPerDataCentre
 }
 
@@ -409,13 +403,12 @@
 
 // relays returns the live peers that reach the store, by their word.
 func (n *Node) relays() []netip.AddrPort {
-	now := n.clock.Now()
 	var found []netip.AddrPort
-	for _, p := range n.mesh.Peers() {
-		if p.Live(now) && !p.Leaving && !p.Digest.GetStoreFails() {
+	n.mesh.Live(func(p *mesh.Peer) {
+		if !p.Leaving && !p.Digest.GetStoreFails() {
 			found = append(found, p.Address)
 		}
-	}
+	})
 	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
 	return found
 }
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -167,7 +167,7 @@
 		Placer:  placer{n},
 		Rates:   allowance.New(tolerance(&s.Bounds), n.clock.Now()),
 		Retries: retrybudget.New(retryBound(&s.Bounds)),
-		VMs:     func() int { return 1 + len(n.mesh.Peers()) },
+		VMs:     func() int { return 1 + n.mesh.Size() },
 		Metrics: forward.NewMetrics(n.registry),
 		Clock:   n.clock,
 		Logger:  p.Logger,
