--- a/internal/serving/node/knowledge.go
+++ b/internal/serving/node/knowledge.go
@@ -6,13 +6,11 @@
 	"net/netip"
 	"time"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"fireflypier.example/fireflypier/internal/serving/mesh"
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/rowstore"
-	"fireflypier.example/fireflypier/internal/serving/storerelay"
 	"fireflypier.example/fireflypier/internal/serving/tablefeed"
 	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
@@ -202,129 +200,6 @@
 	n.inventory[id] = held{wire: entry, version: n.inventoryVersion}
 }
 
-// local is the node's side of the exchange between VMs.
-type local struct{ n *Node }
-
-// Digest implements mesh.Local.
-func (l local) Digest() *meshpb.Digest {
-	n := l.n
-	d := &meshpb.Digest{
-		PolicyVersion:  n.policies.ChangedAt(),
-		TargetsVersion: n.targets.ChangedAt(),
-		StoreFails:     !n.targets.Failing().IsZero(),
-		Loads:          n.view.Loads(),
-		Fence:          n.duty.Fence(),
-	}
-	for name, use := range n.forward.Uses() {
-		d.Customers = append(d.Customers, &meshpb.CustomerDemand{Customer: name, PerSecond: float32(use.PerSecond), Admitted: use.Admitted})
-	}
-	now := n.clock.Now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for k, level := range n.demand.Levels(now) {
-		d.Weights = append(d.Weights, &meshpb.WeightsDemand{
-			Pool: k.Pool, Model: k.Model, Adapter: k.Adapter,
-			TokensPerSecond: float32(level.TokensPerSecond), Waiting: uint32(level.Waiting), IdleMs: uint32(level.Idle.Milliseconds()), Running: uint32(max(0, level.Running)),
-		})
-	}
-	return d
-}
-
-// Address implements mesh.Local: it adds what the peer has not seen yet.
-func (l local) Address(d *meshpb.Digest, p *mesh.Peer) {
-	n := l.n
-	var sendsSeen, inventorySeen int64
-	if p.Digest != nil {
-		sendsSeen, inventorySeen = p.Digest.GetSendsSeen(), p.Digest.GetInventorySeen()
-	}
-	d.Sends, d.SendsUpto = n.view.SendsAfter(sendsSeen)
-	if !n.plans(p) {
-		d.Weights = nil
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if d.GetFence() != 0 {
-		d.InventoryUpto = n.inventoryVersion
-		for id, entry := range n.inventory {
-			if _, ok := n.view.Target(id); !ok {
-				delete(n.inventory, id)
-			} else if entry.version > inventorySeen {
-				d.Inventory = append(d.Inventory, entry.wire)
-			}
-		}
-	}
-	if s := n.seen[p.Address]; s.incarnation == p.Incarnation {
-		d.SendsSeen = s.sends
-		if s.fence == p.Digest.GetFence() {
-			d.InventorySeen = s.inventory
-		}
-	}
-}
-
-// plans reports whether a peer places weights, or may do so next since no VM
-// is known to hold the order duty. Only such a peer needs the demand for them.
-func (n *Node) plans(p *mesh.Peer) bool {
-	if p.Digest.GetFence() != 0 {
-		return true
-	}
-	if n.duty.Term() != nil {
-		return false
-	}
-	_, held := n.holder()
-	return !held
-}
-
-// seen is what this VM has of a peer.
-type seen struct {
-	incarnation, fence int64
-	sends, inventory   int64
-}
-
-// held is what an engine holds, by this VM's own orders and reports.
-type held struct {
-	wire    *meshpb.Inventory
-	version int64
-}
-
-// Heard implements mesh.Local.
-func (l local) Heard(p *mesh.Peer) {
-	n := l.n
-	d := p.Digest
-	n.view.SetPeerLoads(p.Address.String(), d.GetLoads())
-	n.view.PeerSent(d.GetSends())
-	for _, c := range d.GetCustomers() {
-		n.forward.Told(p.Address.String(), p.Incarnation, c.GetCustomer(), c.GetAdmitted())
-	}
-	now := n.clock.Now()
-	n.mu.Lock()
-	s := n.seen[p.Address]
-	if s.incarnation != p.Incarnation {
-		s = seen{incarnation: p.Incarnation}
-	}
-	if s.fence != d.GetFence() {
-		s.fence, s.inventory = d.GetFence(), 0
-	}
-	s.sends, s.inventory = max(s.sends, d.GetSendsUpto()), max(s.inventory, d.GetInventoryUpto())
-	n.seen[p.Address] = s
-	n.mu.Unlock()
-	if d.GetFence() != 0 {
-		n.view.KeepInventory(now)
-	}
-	for _, entry := range d.GetInventory() {
-		n.view.SetInventory(entry.GetTarget(), entry.GetBorn(), heldModels(entry), now)
-	}
-	n.catchUp(p, n.policies, rowstore.Policies, d.GetPolicyVersion())
-	n.catchUp(p, n.targets, rowstore.Targets, d.GetTargetsVersion())
-}
-
-func heldModels(entry *meshpb.Inventory) []target.Held {
-	models := make([]target.Held, 0, len(entry.GetHeld()))
-	for _, h := range entry.GetHeld() {
-		models = append(models, target.Held{Model: h.GetModel(), Adapters: h.GetAdapters()})
-	}
-	return models
-}
-
 // readersPerDataCentre is the number of VMs of a data centre that follow the
 // store; the others hear of changes from them. Those of other data centres
 // stand in for one that has died and still counts as live.
@@ -387,20 +262,6 @@
 	})
 }
 
-// Table implements mesh.Local.
-func (l local) Table(t rowstore.Table) (rowstore.Page, int64) {
-	feed := l.n.targets
-	if t == rowstore.Policies {
-		feed = l.n.policies
-	}
-	return feed.Page(), feed.ChangedAt()
-}
-
-// Relay implements mesh.Local.
-func (l local) Relay(ctx context.Context, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error) {
-	return storerelay.Serve(ctx, l.n.Store, c)
-}
-
 // relays returns the live peers that reach the store, by their word.
 func (n *Node) relays() []netip.AddrPort {
 	var found []netip.AddrPort
@@ -412,53 +273,3 @@
 	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
 	return found
 }
-
-// Need implements mesh.Local.
-func (l local) Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
-	return &meshpb.NeedReply{Target: l.n.desk.Bring(ctx, r.GetPool(), r.GetModel(), r.GetAdapter())}, nil
-}
-
-// placer brings weights for the request path.
-type placer struct{ n *Node }
-
-// Asked implements forward.Placer.
-func (p placer) Asked(pool, model, adapter string, tokens int, waits bool) {
-	n := p.n
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.demand.Asked(weightsdemand.Key{Pool: pool, Model: model, Adapter: adapter}, tokens, waits, n.clock.Now())
-}
-
-// Running implements forward.Placer.
-func (p placer) Running(pool, model, adapter string, change int) {
-	n := p.n
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.demand.Running(weightsdemand.Key{Pool: pool, Model: model, Adapter: adapter}, change, n.clock.Now())
-}
-
-// bringTimeout bounds the wait for an adapter; a load takes some milliseconds
-// once the engine has accepted it.
-const bringTimeout = 500 * time.Millisecond
-
-// Bring implements forward.Placer.
-func (p placer) Bring(ctx context.Context, pool, model, adapter string) (string, error) {
-	n := p.n
-	ctx, cancel := context.WithTimeout(ctx, bringTimeout)
-	defer cancel()
-	if n.duty.Term() != nil {
-		return n.desk.Bring(ctx, pool, model, adapter), nil
-	}
-	addr, ok := n.holder()
-	if !ok {
-		return "", errors.New("no VM holds the order duty")
-	}
-	reply, err := n.mesh.Need(ctx, addr, &meshpb.NeedRequest{Pool: pool, Model: model, Adapter: adapter})
-	if err != nil {
-		return "", err
-	}
-	if id := reply.GetTarget(); id != "" {
-		n.view.AddAdapter(id, model, adapter, n.clock.Now())
-	}
-	return reply.GetTarget(), nil
-}
--- /dev/null
+++ b/internal/serving/node/local.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/storerelay"
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
+
+// local is the node's side of the exchange between VMs.
+type local struct{ n *Node }
+
+// Digest implements mesh.Local.
+func (l local) Digest() *meshpb.Digest {
+	n := l.n
+	d := &meshpb.Digest{
+		PolicyVersion:  n.policies.ChangedAt(),
+		TargetsVersion: n.targets.ChangedAt(),
+		StoreFails:     !n.targets.Failing().IsZero(),
+		Loads:          n.view.Loads(),
+		Fence:          n.duty.Fence(),
+	}
+	for name, use := range n.forward.Uses() {
+		d.Customers = append(d.Customers, &meshpb.CustomerDemand{Customer: name, PerSecond: float32(use.PerSecond), Admitted: use.Admitted})
+	}
+	now := n.clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for k, level := range n.demand.Levels(now) {
+		d.Weights = append(d.Weights, &meshpb.WeightsDemand{
+			Pool: k.Pool, Model: k.Model, Adapter: k.Adapter,
+			TokensPerSecond: float32(level.TokensPerSecond), Waiting: uint32(level.Waiting), IdleMs: uint32(level.Idle.Milliseconds()), Running: uint32(max(0, level.Running)),
+		})
+	}
+	return d
+}
+
+// Address implements mesh.Local: it adds what the peer has not seen yet.
+func (l local) Address(d *meshpb.Digest, p *mesh.Peer) {
+	n := l.n
+	var sendsSeen, inventorySeen int64
+	if p.Digest != nil {
+		sendsSeen, inventorySeen = p.Digest.GetSendsSeen(), p.Digest.GetInventorySeen()
+	}
+	d.Sends, d.SendsUpto = n.view.SendsAfter(sendsSeen)
+	if !n.plans(p) {
+		d.Weights = nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if d.GetFence() != 0 {
+		d.InventoryUpto = n.inventoryVersion
+		for id, entry := range n.inventory {
+			if _, ok := n.view.Target(id); !ok {
+				delete(n.inventory, id)
+			} else if entry.version > inventorySeen {
+				d.Inventory = append(d.Inventory, entry.wire)
+			}
+		}
+	}
+	if s := n.seen[p.Address]; s.incarnation == p.Incarnation {
+		d.SendsSeen = s.sends
+		if s.fence == p.Digest.GetFence() {
+			d.InventorySeen = s.inventory
+		}
+	}
+}
+
+// plans reports whether a peer places weights, or may do so next since no VM
+// is known to hold the order duty. Only such a peer needs the demand for them.
+func (n *Node) plans(p *mesh.Peer) bool {
+	if p.Digest.GetFence() != 0 {
+		return true
+	}
+	if n.duty.Term() != nil {
+		return false
+	}
+	_, held := n.holder()
+	return !held
+}
+
+// seen is what this VM has of a peer.
+type seen struct {
+	incarnation, fence int64
+	sends, inventory   int64
+}
+
+// held is what an engine holds, by this VM's own orders and reports.
+type held struct {
+	wire    *meshpb.Inventory
+	version int64
+}
+
+// Heard implements mesh.Local.
+func (l local) Heard(p *mesh.Peer) {
+	n := l.n
+	d := p.Digest
+	n.view.SetPeerLoads(p.Address.String(), d.GetLoads())
+	n.view.PeerSent(d.GetSends())
+	for _, c := range d.GetCustomers() {
+		n.forward.Told(p.Address.String(), p.Incarnation, c.GetCustomer(), c.GetAdmitted())
+	}
+	now := n.clock.Now()
+	n.mu.Lock()
+	s := n.seen[p.Address]
+	if s.incarnation != p.Incarnation {
+		s = seen{incarnation: p.Incarnation}
+	}
+	if s.fence != d.GetFence() {
+		s.fence, s.inventory = d.GetFence(), 0
+	}
+	s.sends, s.inventory = max(s.sends, d.GetSendsUpto()), max(s.inventory, d.GetInventoryUpto())
+	n.seen[p.Address] = s
+	n.mu.Unlock()
+	if d.GetFence() != 0 {
+		n.view.KeepInventory(now)
+	}
+	for _, entry := range d.GetInventory() {
+		n.view.SetInventory(entry.GetTarget(), entry.GetBorn(), heldModels(entry), now)
+	}
+	n.catchUp(p, n.policies, rowstore.Policies, d.GetPolicyVersion())
+	n.catchUp(p, n.targets, rowstore.Targets, d.GetTargetsVersion())
+}
+
+func heldModels(entry *meshpb.Inventory) []target.Held {
+	models := make([]target.Held, 0, len(entry.GetHeld()))
+	for _, h := range entry.GetHeld() {
+		models = append(models, target.Held{Model: h.GetModel(), Adapters: h.GetAdapters()})
+	}
+	return models
+}
+
+// Table implements mesh.Local.
+func (l local) Table(t rowstore.Table) (rowstore.Page, int64) {
+	feed := l.n.targets
+	if t == rowstore.Policies {
+		feed = l.n.policies
+	}
+	return feed.Page(), feed.ChangedAt()
+}
+
+// Relay implements mesh.Local.
+func (l local) Relay(ctx context.Context, c *meshpb.StoreCall) (*meshpb.StoreAnswer, error) {
+	return storerelay.Serve(ctx, l.n.Store, c)
+}
+
+// Need implements mesh.Local.
+func (l local) Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
+	return &meshpb.NeedReply{Target: l.n.desk.Bring(ctx, r.GetPool(), r.GetModel(), r.GetAdapter())}, nil
+}
--- /dev/null
+++ b/internal/serving/node/placer.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
+)
+
+// placer brings weights for the request path.
+type placer struct{ n *Node }
+
+// Asked implements forward.Placer.
+func (p placer) Asked(pool, model, adapter string, tokens int, waits bool) {
+	n := p.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.demand.Asked(weightsdemand.Key{Pool: pool, Model: model, Adapter: adapter}, tokens, waits, n.clock.Now())
+}
+
+// Running implements forward.Placer.
+func (p placer) Running(pool, model, adapter string, change int) {
+	n := p.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.demand.Running(weightsdemand.Key{Pool: pool, Model: model, Adapter: adapter}, change, n.clock.Now())
+}
+
+// bringTimeout bounds the wait for an adapter; a load takes some milliseconds
+// once the engine has accepted it.
+const bringTimeout = 500 * time.Millisecond
+
+// Bring implements forward.Placer.
+func (p placer) Bring(ctx context.Context, pool, model, adapter string) (string, error) {
+	n := p.n
+	ctx, cancel := context.WithTimeout(ctx, bringTimeout)
+	defer cancel()
+	if n.duty.Term() != nil {
+		return n.desk.Bring(ctx, pool, model, adapter), nil
+	}
+	addr, ok := n.holder()
+	if !ok {
+		return "", errors.New("no VM holds the order duty")
+	}
+	reply, err := n.mesh.Need(ctx, addr, &meshpb.NeedRequest{Pool: pool, Model: model, Adapter: adapter})
+	if err != nil {
+		return "", err
+	}
+	if id := reply.GetTarget(); id != "" {
+		n.view.AddAdapter(id, model, adapter, n.clock.Now())
+	}
+	return reply.GetTarget(), nil
+}
