--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"net/http"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"fireflypier.example/fireflypier/internal/admission"
@@ -69,14 +67,3 @@
 	}
 	return rate.TokensPerSecond
 }
-
-// closeWhenLeaving asks callers to close their connections after each answer
-// while the gateway leaves.
-func (g *Gateway) closeWhenLeaving(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/sourcegraph/conc"
 
 	"fireflypier.example/fireflypier/internal/adminapi"
+	"fireflypier.example/fireflypier/internal/listener"
 	"fireflypier.example/fireflypier/internal/serving/allowance"
 	"fireflypier.example/fireflypier/internal/serving/directory"
 	"fireflypier.example/fireflypier/internal/serving/duty"
@@ -241,7 +242,7 @@
 		return nil
 	}, n.dump)
 	s := n.Settings
-	front = n.server(n.closing(n.Front(n.forward.Serve, n.bodyLimit)))
+	front = n.server(listener.CloseWhile(n.leaving.Load, n.Front(n.forward.Serve, n.bodyLimit)))
 	serve := []struct {
 		addr   netip.AddrPort
 		server *http.Server
@@ -252,14 +253,14 @@
 		{s.Admin, n.server(admin.Handler())},
 	}
 	for _, l := range serve {
-		listener, err := socket.Default().Listen(ctx, l.addr.String())
+		ln, err := socket.Default().Listen(ctx, l.addr.String())
 		if err != nil {
 			return nil, nil, errors.Wrapf(err, "listen on %s", l.addr)
 		}
 		if l.server != front {
 			others = append(others, l.server)
 		}
-		n.wg.Go(func() { n.serve(l.server, listener) })
+		n.wg.Go(func() { n.serve(l.server, ln) })
 	}
 	return front, others, nil
 }
@@ -280,16 +281,6 @@
 	}
 }
 
-// closing asks callers to close their connections while this VM leaves.
-func (n *Node) closing(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 // leave tells everyone, serves on while callers still know the address, and
 // finishes what runs.
 func (n *Node) leave(ctx context.Context, endDuty context.CancelFunc, front *http.Server) {
