Choose the preferred engine with the rendezvous package, in one pass

The view had rendezvous hashing of its own, and looked through all targets and their weights twice for each request. The rule is the same; the hash is another, so VMs of two versions prefer different engines during a rollout.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
+	"fireflypier.example/fireflypier/internal/rendezvous"
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/policy"
 	"fireflypier.example/fireflypier/internal/serving/target"
@@ -263,8 +265,28 @@
 	defer v.mu.Unlock()
 	var c Choice
 	var best time.Duration
-	preferred := v.preferred(w, now)
-	for id, s := range v.targets {
+	able := v.able(w, &c, now)
+	first := preferred(w, able)
+	for _, s := range able {
+		if slices.Contains(w.Exclude, s.target.ID) || now.Before(s.downUntil) {
+			continue
+		}
+		total := s.total()
+		c.Candidates++
+		expected, cached := v.expected(s, &total, w, s.target.ID == first, now)
+		cost := expected + time.Duration(s.failureRate(now)*float64(failureCost))
+		if c.Target == nil || cost < best {
+			c.Target, c.Expected, c.Cached, best = s.target, expected, cached, cost
+		}
+	}
+	return c
+}
+
+// able returns the targets of the pool that take work and hold the weights,
+// and counts the others in c.
+func (v *View) able(w *Want, c *Choice, now time.Time) []*state {
+	var able []*state
+	for _, s := range v.targets {
 		if s.target.Pool != w.Pool.Name || s.target.Draining {
 			continue
 		}
@@ -279,18 +301,9 @@
 				continue
 			}
 		}
-		if slices.Contains(w.Exclude, id) || now.Before(s.downUntil) {
-			continue
-		}
-		total := s.total()
-		c.Candidates++
-		expected, cached := v.expected(s, &total, w, id == preferred, now)
-		cost := expected + time.Duration(s.failureRate(now)*float64(failureCost))
-		if c.Target == nil || cost < best {
-			c.Target, c.Expected, c.Cached, best = s.target, expected, cached, cost
-		}
+		able = append(able, s)
 	}
-	return c
+	return able
 }
 
 // expected returns the time until the first event, and the tokens of the
@@ -328,40 +341,18 @@
 	return t, cached
 }
 
-// preferred returns the engine that all VMs choose for a new prompt prefix
-// while nothing else tells engines apart, by rendezvous hashing.
-func (v *View) preferred(w *Want, now time.Time) string {
+// preferred returns the id of the engine that all VMs choose for a new prompt
+// prefix while nothing else tells engines apart.
+func preferred(w *Want, able []*state) string {
 	if len(w.Chain) < 2 {
 		return ""
 	}
-	shared := w.Chain[len(w.Chain)-2]
-	var best string
-	var highest uint64
-	for id, s := range v.targets {
-		if s.target.Pool != w.Pool.Name || s.target.Draining {
-			continue
-		}
-		if _, ok := s.holds(w.Model, w.Adapter, now); !ok {
-			continue
-		}
-		if score := mix(shared, id); best == "" || score > highest {
-			best, highest = id, score
-		}
-	}
-	return best
-}
-
-// mix hashes a key with a name (FNV-1a).
-func mix(key uint32, name string) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211
-	h := uint64(offset)
-	for i := range 4 {
-		h = (h ^ uint64(byte(key>>(8*i)))) * prime
+	ids := make([]string, 0, len(able))
+	for _, s := range able {
+		ids = append(ids, s.target.ID)
 	}
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * prime
-	}
-	return h ^ (h >> 29)
+	shared := w.Chain[len(w.Chain)-2]
+	return rendezvous.First(strconv.FormatUint(uint64(shared), 16), ids)
 }
 
 // AddAdapter notes that an engine holds an adapter, until the next word on
