Run the soak's processes with the fleet's code, under one supervisor a node

The soak started, signalled and logged processes by itself, as package fleet does, and a flag kept two places that start processes apart. A goroutine a node now starts its process whenever it has ended, as the platform does; faults only end or stop it, and thaw the process that they froze. Same faults and checks.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,7 +79,7 @@
 }
 
 func (f *Fleet) run(name, program string, args ...string) (*Process, error) {
-	p, err := start(f.dir, name, program, args...)
+	p, err := Start(f.dir, name, exec.Command(program, args...))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 )
 
-// Process is one process that a Fleet started.
+// Process is one process of the real programs.
 type Process struct {
-	// Name is the process's name in the fleet.
+	// Name is the process's name, also that of its log file.
 	Name string
 
 	cmd  *exec.Cmd
@@ -22,15 +22,16 @@
 	err  error
 }
 
-// start runs a program with its output in a log file of the directory.
-func start(dir, name, program string, args ...string) (*Process, error) {
+// Start runs a command with its output in a log file of the directory. The
+// caller ends the process.
+func Start(dir, name string, cmd *exec.Cmd) (*Process, error) {
 	log := filepath.Join(dir, name+".log")
 	output, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
 	defer func() { _ = output.Close() }()
-	p := &Process{Name: name, cmd: exec.Command(program, args...), log: log, done: make(chan struct{})}
+	p := &Process{Name: name, cmd: cmd, log: log, done: make(chan struct{})}
 	p.cmd.Stdout = output
 	p.cmd.Stderr = output
 	if err := p.cmd.Start(); err != nil {
@@ -64,6 +65,9 @@
 // Terminate asks the process to shut down gracefully; Wait tells the end.
 func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// Hangup tells the process that its settings may have changed.
+func (p *Process) Hangup() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
 // Wait waits for the end of the process and returns its error.
 func (p *Process) Wait(ctx context.Context) error {
 	select {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -13,11 +13,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +23,7 @@
 	"github.com/sourcegraph/conc"
 
 	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/fleet"
 	"fireflypier.example/fireflypier/internal/serving/storestandin"
 )
 
@@ -75,19 +73,21 @@
 	return seeds, length
 }
 
+var programs fleet.Programs
+
+var _ = BeforeSuite(func() {
+	var err error
+	programs, err = fleet.Build(context.Background(), GinkgoT().TempDir())
+	Expect(err).NotTo(HaveOccurred())
+})
+
 var _ = Describe("a site under faults", func() {
-	var program string
-	BeforeEach(func() {
-		program = filepath.Join(GinkgoT().TempDir(), "fireflypier")
-		out, err := exec.Command("go", "build", "-o", program, "../../cmd/fireflypier").CombinedOutput()
-		Expect(err).NotTo(HaveOccurred(), string(out))
-	})
 	seeds, length := schedule()
 	for i, seed := range seeds {
 		It(fmt.Sprintf("keeps its promises with seed %d", seed), func() {
 			dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 			Expect(err).NotTo(HaveOccurred())
-			w := newWorld(dir, program, rand.New(rand.NewPCG(seed, 1)), byte(40+i%100), nodes)
+			w := newWorld(dir, programs.Fireflypier, rand.New(rand.NewPCG(seed, 1)), byte(40+i%100), nodes)
 			DeferCleanup(func() {
 				w.close()
 				if !CurrentSpecReport().Failed() {
@@ -269,15 +269,13 @@
 	}
 	switch kind {
 	case 0, 1:
-		w.restart(n, syscall.SIGKILL)
+		n.present().Kill()
 	case 2:
-		w.restart(n, syscall.SIGTERM)
+		n.terminate()
 	case 3:
-		n.signal(syscall.SIGSTOP)
-		time.Sleep(lasts)
-		w.thaw(n)
+		w.freeze(n, lasts)
 	case 4:
-		n.signal(syscall.SIGHUP)
+		_ = n.present().Hangup()
 	case 5:
 		proxied(n.proxy, faultproxy.Fault{Freeze: true})
 	case 6:
@@ -299,17 +297,6 @@
 	}
 }
 
-// restart ends a node's process and starts it again, unless that is under way.
-func (w *world) restart(n *node, sig syscall.Signal) {
-	if !n.restarting.CompareAndSwap(false, true) {
-		return
-	}
-	defer n.restarting.Store(false)
-	n.end(sig)
-	time.Sleep(restartDelay)
-	w.start(n)
-}
-
 func (w *world) anyTarget() *target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,13 +14,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"fireflypier.example/fireflypier/internal/faultproxy"
+	"fireflypier.example/fireflypier/internal/fleet"
 	"fireflypier.example/fireflypier/internal/serving/rowstore"
 	"fireflypier.example/fireflypier/internal/serving/storestandin"
 )
@@ -49,21 +50,18 @@
 	ip    netip.Addr
 	proxy *faultproxy.Proxy
 	file  string
-	// restarting tells that the process is being replaced.
-	restarting atomic.Bool
+	// done is closed when no process is started any more.
+	done chan struct{}
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	ended chan struct{}
+	mu      sync.Mutex
+	process *fleet.Process
 }
 
-// signal sends a signal to the node's present process and returns what is
-// closed when that has ended. A process that has ended gets none.
-func (n *node) signal(sig syscall.Signal) <-chan struct{} {
+// present returns the node's latest process.
+func (n *node) present() *fleet.Process {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_ = n.cmd.Process.Signal(sig)
-	return n.ended
+	return n.process
 }
 
 func newWorld(dir, program string, r *rand.Rand, network byte, nodes int) *world {
@@ -81,10 +79,10 @@
 	for i := range nodes {
 		proxy, err := faultproxy.Start(w.storeAt)
 		Expect(err).NotTo(HaveOccurred())
-		n := &node{name: fmt.Sprintf("vm-%d", i), ip: netip.AddrFrom4([4]byte{127, 0, network, byte(i + 1)}), proxy: proxy}
+		n := &node{name: fmt.Sprintf("vm-%d", i), ip: netip.AddrFrom4([4]byte{127, 0, network, byte(i + 1)}), proxy: proxy, done: make(chan struct{})}
 		w.nodes = append(w.nodes, n)
 		w.configure(n)
-		w.start(n)
+		go w.supervise(n)
 	}
 	return w
 }
@@ -109,49 +107,58 @@
 	Expect(os.WriteFile(n.file, []byte(text), 0o600)).To(Succeed())
 }
 
-func (w *world) start(n *node) {
-	log, err := os.OpenFile(filepath.Join(w.dir, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	Expect(err).NotTo(HaveOccurred())
+// restartDelay is the time until the platform starts a process again.
+const restartDelay = 200 * time.Millisecond
+
+// supervise starts a node's process, and again whenever it has ended, as the
+// platform does.
+func (w *world) supervise(n *node) {
+	defer close(n.done)
+	for p := w.start(n); p != nil; p = w.start(n) {
+		w.note("%s has ended: %v", n.name, p.Wait(context.Background()))
+		time.Sleep(restartDelay)
+	}
+}
+
+// start starts a node's process; it returns nil once the world closes.
+func (w *world) start(n *node) *fleet.Process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if w.closing.Load() {
+		return nil
+	}
 	cmd := exec.Command(w.program, "node")
 	cmd.Env = append(os.Environ(), "FIREFLYPIER_CONFIG="+n.file)
-	cmd.Stdout, cmd.Stderr = log, log
-	Expect(cmd.Start()).To(Succeed())
-	ended := make(chan struct{})
-	n.mu.Lock()
-	n.cmd, n.ended = cmd, ended
-	n.mu.Unlock()
-	go func() {
-		err := cmd.Wait()
-		_ = log.Close()
-		w.note("%s has ended: %v", n.name, err)
-		close(ended)
-		if !n.restarting.Load() && !w.closing.Load() {
-			time.Sleep(restartDelay)
-			w.start(n) // as the platform does
-		}
-	}()
+	p, err := fleet.Start(w.dir, n.name, cmd)
+	if err != nil {
+		w.broken("%s was not started: %v", n.name, err)
+		return nil
+	}
+	n.process = p
+	return p
 }
 
-// restartDelay is the time until the platform starts a process again.
-const restartDelay = 200 * time.Millisecond
-
 // endTimeout is twice the grace time.
 const endTimeout = 8 * time.Second
 
-// end ends a node's process by a signal and waits for it.
-func (n *node) end(sig syscall.Signal) {
-	ended := n.signal(sig)
+// terminate has a node's present process shut down.
+func (n *node) terminate() {
+	p := n.present()
+	_ = p.Terminate()
 	select {
-	case <-ended:
+	case <-p.Done():
 	case <-time.After(endTimeout):
-		<-n.signal(syscall.SIGKILL)
+		p.Kill()
 	}
 }
 
 func (w *world) close() {
 	w.closing.Store(true)
 	for _, n := range w.nodes {
-		n.end(syscall.SIGKILL)
+		if p := n.present(); p != nil {
+			p.Kill()
+		}
+		<-n.done
 		n.proxy.Close()
 	}
 	w.mu.Lock()
@@ -243,9 +250,13 @@
 	return now.Sub(w.thawed) < healed
 }
 
-func (w *world) thaw(n *node) {
+// freeze stops a node's present process for a while.
+func (w *world) freeze(n *node, lasts time.Duration) {
+	p := n.present()
+	_ = p.Freeze()
+	time.Sleep(lasts)
 	w.mu.Lock()
 	w.thawed = time.Now()
 	w.mu.Unlock()
-	n.signal(syscall.SIGCONT)
+	_ = p.Thaw()
 }
