--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -139,7 +139,7 @@
 			gap = retryInterval
 		}
 		if err != nil {
-			f.beginOutage(err)
+			f.callFailed(err, began)
 		}
 		f.expire()
 		if gap > 0 {
@@ -210,13 +210,13 @@
 	return nil
 }
 
-// beginOutage records that a call to the store failed.
-func (f *Feed) beginOutage(err error) {
+// callFailed records that a call to the store, begun at the given time, failed.
+func (f *Feed) callFailed(err error, began time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failingSince.IsZero() {
 		f.failingSince = f.clock.Now()
-		f.logger.Warn("store lost", "table", f.name, "version", f.version, "error", err)
+		f.logger.Warn("store lost", "table", f.name, "version", f.version, "call_ms", f.failingSince.Sub(began).Milliseconds(), "error", err)
 	}
 }
 
@@ -273,11 +273,14 @@
 // deletion. It returns changes with the deletion, if any, appended. The caller
 // holds f.mu.
 func (f *Feed) drop(key string, now time.Time, hold time.Duration, changes []rowstore.Row) []rowstore.Row {
-	if _, ok := f.rows[key]; !ok {
+	row, ok := f.rows[key]
+	if !ok {
 		return changes
 	}
 	if !f.recoveredAt.IsZero() && now.Sub(f.recoveredAt) < hold {
 		f.held[key] = f.recoveredAt.Add(hold)
+		f.logger.Info("deletion held after a store outage", "table", f.name, "key", key, "row_version", row.Version,
+			"hold_ms", f.held[key].Sub(now).Milliseconds())
 		return changes
 	}
 	delete(f.rows, key)
@@ -313,11 +316,13 @@
 // deleted are deleted without a hold: the peer has already held them.
 func (f *Feed) Merge(page rowstore.Page, complete bool) {
 	f.mu.Lock()
-	older := f.read && page.Version <= f.version
+	version, older := f.version, f.read && page.Version <= f.version
 	f.mu.Unlock()
-	if !older {
-		f.apply(page, complete, 0)
+	if older {
+		f.logger.Info("table of a peer ignored: the own copy is as new", "table", f.name, "version", version, "peer_version", page.Version, "complete", complete)
+		return
 	}
+	f.apply(page, complete, 0)
 }
 
 // Changes returns the rows that have changed after a version, or the whole table, and
