End polls of the store's tables well within the time that changes have (CONFIG)

Cause: a poll that begins while the store does not answer ended only 4.8 s later (its wait of 4 s and 0.8 s), whatever the store did meanwhile; a connection that falls silent without an outage cost as much. Change: a poll waits for a quarter of the time that changes have, and not at all while calls fail; the pause between calls counts from the start of the failed one. Evidence: both specs failed before ('learns of a change in time after the store was silent, wherever the outage ends': second of 20 phases; '... when its connection falls silent': first phase) and pass with the change, with the race detector.

--- a/internal/serving/fakestore/fakestore.go
+++ b/internal/serving/fakestore/fakestore.go
@@ -26,8 +26,16 @@
 	AnswerLost
 	// RequestLost makes calls return rowstore.ErrUnanswered; they are not carried out.
 	RequestLost
+	// Silent makes Follow return rowstore.ErrUnanswered once its time-out has passed,
+	// also for calls that are in progress when the failure begins or ends. Other calls
+	// fail as with RequestLost.
+	Silent
 )
 
+// followSlack is the time that Follow may take beyond its wait before it counts as
+// unanswered, like that of the platform's client.
+const followSlack = 800 * time.Millisecond
+
 // Store is the in-memory store. Its methods are safe for concurrent use.
 type Store struct {
 	clock clockwork.Clock
@@ -39,8 +47,10 @@
 	history     []change
 	compactedTo int64
 	failure     Failure
-	changed     chan struct{}
-	calls       int
+	// silences is the number of times that Silent was set.
+	silences int
+	changed  chan struct{}
+	calls    int
 }
 
 type change struct {
@@ -63,6 +73,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failure = f
+	if f == Silent {
+		s.silences++
+	}
 }
 
 // Compact discards the change history: Follow returns rowstore.ErrHistoryTruncated
@@ -91,7 +104,7 @@
 		return false, rowstore.ErrRefused
 	case AnswerLost:
 		return true, rowstore.ErrUnanswered
-	case RequestLost:
+	case RequestLost, Silent:
 		return false, rowstore.ErrUnanswered
 	case None:
 	}
@@ -115,10 +128,21 @@
 
 // Follow implements rowstore.Store.
 func (s *Store) Follow(ctx context.Context, t rowstore.Table, after int64, wait time.Duration) (rowstore.Page, error) {
-	timeout := s.clock.After(wait)
+	timeout, lost := s.clock.After(wait), s.clock.After(wait+followSlack)
+	s.mu.Lock()
+	silences := s.silences
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		_, err := s.beginCall()
+		if s.failure == Silent || s.silences != silences {
+			s.mu.Unlock()
+			select {
+			case <-lost:
+			case <-ctx.Done():
+			}
+			return rowstore.Page{}, rowstore.ErrUnanswered
+		}
 		if err == nil && after < s.compactedTo {
 			err = rowstore.ErrHistoryTruncated
 		}
@@ -136,6 +160,9 @@
 		select {
 		case <-changed:
 		case <-timeout:
+			if s.silencedSince(silences) {
+				continue
+			}
 			return page, nil
 		case <-ctx.Done():
 			return page, rowstore.ErrUnanswered
@@ -143,6 +170,13 @@
 	}
 }
 
+// silencedSince reports whether Silent was set after it had been set n times.
+func (s *Store) silencedSince(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silences != n
+}
+
 // Write implements rowstore.Store.
 func (s *Store) Write(_ context.Context, writes ...rowstore.Write) (rowstore.Result, error) {
 	s.mu.Lock()
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -135,8 +135,8 @@
 	}
 	s := config.Settings
 	n.bounds.Store(&s.Bounds)
-	n.policies = tablefeed.New(config.Store, rowstore.Policies, "policies", config.Logger, n.policyChanged, tablefeed.WithReadCondition(n.readsStore), tablefeed.WithPollInterval(pollInterval(&s.Bounds)))
-	n.targets = tablefeed.New(config.Store, rowstore.Targets, "targets", config.Logger, n.targetsChanged, tablefeed.WithHold(targetRowHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithPollInterval(pollInterval(&s.Bounds)))
+	n.policies = tablefeed.New(config.Store, rowstore.Policies, "policies", config.Logger, n.policyChanged, tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(changeLag(&s.Bounds)))
+	n.targets = tablefeed.New(config.Store, rowstore.Targets, "targets", config.Logger, n.targetsChanged, tablefeed.WithHold(targetRowHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(changeLag(&s.Bounds)))
 	n.fleet = newFleet(n.ownSummary)
 	var err error
 	n.mesh, err = mesh.New(&meshpb.Member{
@@ -186,20 +186,15 @@
 	return n, nil
 }
 
-const (
-	// pollsPerLag is the number of polls of the store within the time in which a change
-	// must take effect on every VM.
-	pollsPerLag = 5
-	// defaultChangeLag applies if the settings have no such time.
-	defaultChangeLag = 2 * time.Second
-)
+// defaultChangeLag applies if the settings have no such time.
+const defaultChangeLag = 2 * time.Second
 
-// pollInterval returns the minimum time between two polls of a table.
-func pollInterval(b *machine.Bounds) time.Duration {
+// changeLag returns the time within which a change in the store must take effect.
+func changeLag(b *machine.Bounds) time.Duration {
 	if b.ChangeLag <= 0 {
-		return defaultChangeLag / pollsPerLag
+		return defaultChangeLag
 	}
-	return b.ChangeLag / pollsPerLag
+	return b.ChangeLag
 }
 
 func tolerance(b *machine.Bounds) ratelimit.Tolerance {
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -17,12 +17,15 @@
 )
 
 const (
-	// pollWait is the maximum duration of one long poll, and so the time until a
-	// dead connection is detected; until then changes arrive through peers.
-	pollWait = 4 * time.Second
-	// defaultPollInterval is the minimum time between the starts of two polls, so
-	// that a table that changes continuously does not cost a call per change.
-	defaultPollInterval = 400 * time.Millisecond
+	// defaultLag is the default of WithLag.
+	defaultLag = 2 * time.Second
+	// pollsPerLag is the maximum number of polls within the lag, so that a table that
+	// changes continuously does not cost a call per change.
+	pollsPerLag = 5
+	// waitsPerLag is the lag divided by the maximum wait of one long poll. A lost answer
+	// is noticed after the wait and the call's time-out; the next poll and the way to
+	// the other VMs must fit into the rest of the lag.
+	waitsPerLag = 4
 	// firstReadWait is how long a feed that should not read the store waits for a
 	// peer's copy before it reads its first copy from the store.
 	firstReadWait = 1200 * time.Millisecond
@@ -34,8 +37,8 @@
 	// idleInterval is the time between two checks of the read condition while it
 	// is false.
 	idleInterval = 300 * time.Millisecond
-	// retryInterval is the time between two calls while the store fails; it
-	// keeps the calls of all VMs far below the rate that the store supports.
+	// retryInterval is the minimum time between the starts of two calls while the store
+	// fails; it keeps the calls of all VMs far below the rate that the store supports.
 	retryInterval = 400 * time.Millisecond
 )
 
@@ -49,9 +52,11 @@
 	onChange func(rows []rowstore.Row)
 	done     chan struct{}
 
-	hold         time.Duration
-	shouldRead   func() bool
-	pollInterval time.Duration
+	hold       time.Duration
+	shouldRead func() bool
+	// pollInterval is the minimum time between the starts of two polls, pollWait the
+	// maximum wait of one.
+	pollInterval, pollWait time.Duration
 
 	mu   sync.Mutex
 	rows map[string]rowstore.Row
@@ -88,9 +93,10 @@
 	return func(f *Feed) { f.shouldRead = shouldRead }
 }
 
-// WithPollInterval sets the minimum time between the starts of two polls.
-func WithPollInterval(d time.Duration) Option {
-	return func(f *Feed) { f.pollInterval = d }
+// WithLag sets the time within which a change of the table must take effect; the
+// intervals and waits of polls are parts of it.
+func WithLag(d time.Duration) Option {
+	return func(f *Feed) { f.pollInterval, f.pollWait = d/pollsPerLag, d/waitsPerLag }
 }
 
 // WithClock sets the clock; the default is the real one.
@@ -112,9 +118,8 @@
 		done:     make(chan struct{}),
 		rows:     make(map[string]rowstore.Row),
 		held:     make(map[string]time.Time),
-
-		pollInterval: defaultPollInterval,
 	}
+	WithLag(defaultLag)(f)
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -134,15 +139,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		gap := f.pollInterval - f.clock.Since(began)
-		if err != nil {
-			gap = retryInterval
-		}
+		interval := f.pollInterval
 		if err != nil {
+			interval = retryInterval
 			f.callFailed(err, began)
 		}
 		f.expire()
-		if gap > 0 {
+		if gap := interval - f.clock.Since(began); gap > 0 {
 			select {
 			case <-f.clock.After(gap):
 			case <-ctx.Done():
@@ -178,14 +181,17 @@
 
 func (f *Feed) poll(ctx context.Context) error {
 	f.mu.Lock()
-	version, read, hasHeld := f.version, f.read, len(f.held) > 0
+	version, read, hasHeld, failing := f.version, f.read, len(f.held) > 0, !f.failingSince.IsZero()
 	f.mu.Unlock()
 	if !read {
 		return f.list(ctx)
 	}
-	wait := pollWait
+	wait := f.pollWait
 	if hasHeld {
-		wait = heldPollWait
+		wait = min(wait, heldPollWait)
+	}
+	if failing {
+		wait = 0 // a poll that is lost in an outage must not outlive it
 	}
 	page, err := f.store.Follow(ctx, f.table, version, wait)
 	if errors.Is(err, rowstore.ErrHistoryTruncated) {
--- a/internal/serving/tablefeed/tablefeed_test.go
+++ b/internal/serving/tablefeed/tablefeed_test.go
@@ -174,6 +174,37 @@
 		Expect(page.Rows[0].Key).To(Equal("b"))
 	})
 
+	// lag is the time within which a change must arrive.
+	const lag = 2 * time.Second
+
+	// Guards against polls of an outage that outlive it (CONFIG, DRAIN).
+	It("learns of a change in time after the store was silent, wherever the outage ends", func() {
+		begin()
+		eventually("a", "1")
+		for phase := time.Duration(0); phase < 5*time.Second; phase += 250 * time.Millisecond {
+			store.Fail(fakestore.Silent)
+			pass(5*time.Second + phase)
+			store.Fail(fakestore.None)
+			store.Put(rowstore.Targets, "a", []byte(phase.String()))
+			pass(lag)
+			Expect(seen.get("a")).To(Equal(phase.String()))
+		}
+	})
+
+	// Guards against a connection that falls silent while new ones work (CONFIG).
+	It("learns of a change in time when its connection falls silent", func() {
+		begin()
+		eventually("a", "1")
+		for phase := time.Duration(0); phase < time.Second; phase += 150 * time.Millisecond {
+			pass(5*time.Second + phase)
+			store.Fail(fakestore.Silent)
+			store.Fail(fakestore.None)
+			store.Put(rowstore.Targets, "a", []byte(phase.String()))
+			pass(lag)
+			Expect(seen.get("a")).To(Equal(phase.String()))
+		}
+	})
+
 	It("does not call the store while the read condition is false", func() {
 		begin(tablefeed.WithReadCondition(func() bool { return false }))
 		eventually("a", "1")
