Hold deleted rows only if nothing was written to them since the outage (DRAIN)

Cause: after an outage of the store, deleted rows are kept for 2.2 s from this VM's own return, so that targets whose entries lapsed can write them again. The rule did not ask whether they had: an entry that was written again and then deleted is a departure. Nor did it ask whether only this VM was cut off from the store. Change: a row is kept only if it is not newer than the copy that the VM had at the end of the outage, and an outage is a time of two seconds without an answer of the store to this VM or its peers. Three specs fail without the change and pass with it.

--- a/internal/serving/fakestore/fakestore.go
+++ b/internal/serving/fakestore/fakestore.go
@@ -118,12 +118,23 @@
 	if _, err := s.beginCall(); err != nil {
 		return rowstore.Page{}, err
 	}
+	return s.table(t), nil
+}
+
+// Table returns a table as List does; the set failure does not apply.
+func (s *Store) Table(t rowstore.Table) rowstore.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table(t)
+}
+
+func (s *Store) table(t rowstore.Table) rowstore.Page {
 	page := rowstore.Page{Version: s.version, Time: s.now()}
 	for _, r := range s.rows[t] {
 		page.Rows = append(page.Rows, r)
 	}
 	sort.Slice(page.Rows, func(i, j int) bool { return page.Rows[i].Key < page.Rows[j].Key })
-	return page, nil
+	return page
 }
 
 // Follow implements rowstore.Store.
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -37,6 +37,9 @@
 	// idleInterval is the time between two checks of the read condition while it
 	// is false.
 	idleInterval = 300 * time.Millisecond
+	// minOutage is the time without an answer of the store from which on rows may lapse:
+	// targets have missed two of the three heartbeats that they may miss.
+	minOutage = 2 * time.Second
 	// retryInterval is the minimum time between the starts of two calls while the store
 	// fails; it keeps the calls of all VMs far below the rate that the store supports.
 	retryInterval = 400 * time.Millisecond
@@ -65,12 +68,15 @@
 	version   int64
 	changedAt int64
 	read      bool
-	// failingSince is the start of the current outage, recoveredAt the end of
-	// the last one.
+	// failingSince is the time since which this VM's calls fail.
 	failingSince time.Time
 	// deletedAt is the version of the newest deletion.
-	deletedAt   int64
-	recoveredAt time.Time
+	deletedAt int64
+	// lastNews is the time of the last answer of the store, to this VM or passed on by
+	// a peer. outageEnd is the end of the last outage of the store, outageVersion the
+	// version up to which rows were complete then.
+	lastNews, outageEnd time.Time
+	outageVersion       int64
 	// held has the rows that the store has deleted and that are still in rows,
 	// with the time at which they are dropped.
 	held map[string]time.Time
@@ -81,7 +87,8 @@
 
 // WithHold keeps rows that the store deletes within d after the end of an outage
 // until d has passed since that end: their owners may have been unable to reach
-// the store during the outage, and may write them again.
+// the store during the outage, and may write them again. Rows that were written
+// since the outage are not kept.
 func WithHold(d time.Duration) Option {
 	return func(f *Feed) { f.hold = d }
 }
@@ -201,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	f.endOutage()
+	f.callSucceeded()
 	f.apply(page, false, f.hold)
 	return nil
 }
@@ -211,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	f.endOutage()
+	f.callSucceeded()
 	f.apply(page, true, f.hold)
 	return nil
 }
@@ -226,18 +233,29 @@
 	}
 }
 
-// endOutage records that the store answered.
-func (f *Feed) endOutage() {
+// callSucceeded records that the store answered this VM.
+func (f *Feed) callSucceeded() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
+	f.recordNews(now)
 	if f.failingSince.IsZero() {
 		return
 	}
-	f.recoveredAt = f.clock.Now()
-	f.logger.Info("store regained", "table", f.name, "out_for_ms", f.recoveredAt.Sub(f.failingSince).Milliseconds(), "version", f.version)
+	f.logger.Info("store regained", "table", f.name, "out_for_ms", now.Sub(f.failingSince).Milliseconds(), "version", f.version)
 	f.failingSince = time.Time{}
 }
 
+// recordNews records an answer of the store at the time now, before it is applied. It ends
+// an outage if this VM's calls have failed and peers have passed on nothing either. The
+// caller holds f.mu.
+func (f *Feed) recordNews(now time.Time) {
+	if !f.failingSince.IsZero() && now.Sub(f.lastNews) > minOutage {
+		f.outageEnd, f.outageVersion = now, f.version
+	}
+	f.lastNews = now
+}
+
 // apply applies a page of changes, or of the whole table if full is set. Rows
 // that are deleted within hold after an outage are kept until hold has passed.
 func (f *Feed) apply(page rowstore.Page, full bool, hold time.Duration) {
@@ -283,10 +301,10 @@
 	if !ok {
 		return changes
 	}
-	if !f.recoveredAt.IsZero() && now.Sub(f.recoveredAt) < hold {
-		f.held[key] = f.recoveredAt.Add(hold)
+	if until := f.outageEnd.Add(hold); now.Before(until) && row.Version <= f.outageVersion {
+		f.held[key] = until
 		f.logger.Info("deletion held after a store outage", "table", f.name, "key", key, "row_version", row.Version,
-			"hold_ms", f.held[key].Sub(now).Milliseconds())
+			"hold_ms", until.Sub(now).Milliseconds())
 		return changes
 	}
 	delete(f.rows, key)
@@ -323,6 +341,9 @@
 func (f *Feed) Merge(page rowstore.Page, complete bool) {
 	f.mu.Lock()
 	version, older := f.version, f.read && page.Version <= f.version
+	if !older {
+		f.recordNews(f.clock.Now())
+	}
 	f.mu.Unlock()
 	if older {
 		f.logger.Info("table of a peer ignored: the own copy is as new", "table", f.name, "version", version, "peer_version", page.Version, "complete", complete)
--- a/internal/serving/tablefeed/tablefeed_test.go
+++ b/internal/serving/tablefeed/tablefeed_test.go
@@ -130,6 +130,52 @@
 		Expect(seen.get("b")).To(BeEmpty())
 	})
 
+	// Guards against departures that are taken for lapses (DRAIN).
+	It("drops a row at once that was written again after an outage and then deleted", func() {
+		begin(tablefeed.WithHold(2 * time.Second))
+		eventually("a", "1")
+		store.Fail(fakestore.Silent)
+		pass(5 * time.Second)
+		store.Delete(rowstore.Targets, "a")
+		store.Put(rowstore.Targets, "a", []byte("back"))
+		store.Fail(fakestore.None)
+		eventually("a", "back")
+		store.Delete(rowstore.Targets, "a")
+		pass(600 * time.Millisecond)
+		Expect(seen.get("a")).To(BeEmpty())
+	})
+
+	It("drops a row at once whose lapse, return and deletion arrive together after an outage", func() {
+		begin(tablefeed.WithHold(2 * time.Second))
+		eventually("a", "1")
+		store.Fail(fakestore.Silent)
+		pass(5 * time.Second)
+		store.Delete(rowstore.Targets, "a")
+		store.Put(rowstore.Targets, "a", []byte("back"))
+		store.Delete(rowstore.Targets, "a")
+		store.Put(rowstore.Targets, "b", []byte("1"))
+		store.Fail(fakestore.None)
+		eventually("b", "1")
+		Expect(seen.get("a")).To(BeEmpty())
+	})
+
+	It("drops a deleted row at once if peers have sent changes while its own calls failed", func() {
+		begin(tablefeed.WithHold(2 * time.Second))
+		eventually("a", "1")
+		store.Fail(fakestore.Silent)
+		pass(5 * time.Second)
+		for range 4 { // the store is back, and reachable for peers only
+			store.Put(rowstore.Targets, "b", []byte("1"))
+			feed.Merge(store.Table(rowstore.Targets), true)
+			pass(900 * time.Millisecond)
+		}
+		store.Delete(rowstore.Targets, "a")
+		store.Put(rowstore.Targets, "b", []byte("2"))
+		store.Fail(fakestore.None)
+		eventually("b", "2")
+		Expect(seen.get("a")).To(BeEmpty())
+	})
+
 	It("drops a deleted row at once if there was no outage", func() {
 		begin(tablefeed.WithHold(2 * time.Second))
 		eventually("a", "1")
