Apply what a peer's copy of a table tells also at the same version of the store (DRAIN)

Cause: a copy whose store version is not newer was rejected as a whole, although copies of one version can differ by held rows; and the announced version of the newest change was never reached, so that the fetch was repeated. Change: each row of a peer's copy is judged by its own version, rows that were seen deleted stay deleted, and a merged copy counts as up to the change that the peer announced. The log line for ignored tables goes with the case. Evidence: two specs fail without the change; a third guards the reason for the old rule, that an older copy brings back no deleted row.

--- a/internal/serving/node/state.go
+++ b/internal/serving/node/state.go
@@ -317,7 +317,7 @@
 			return
 		}
 		n.Logger.Info("table taken from peer", "peer", p.Address, "table", t, "rows", len(page.Rows), "complete", complete, "from_version", above, "to_version", page.Version)
-		feed.Merge(page, complete)
+		feed.Merge(page, complete, version)
 	})
 }
 
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -266,9 +266,13 @@
 	for _, r := range page.Rows {
 		present[r.Key] = !r.Deleted
 		f.changedAt = max(f.changedAt, r.Version)
-		if old, ok := f.rows[r.Key]; ok && old.Version >= r.Version {
+		old, ok := f.rows[r.Key]
+		if ok && old.Version >= r.Version {
 			continue
 		}
+		if !ok && r.Version <= f.version {
+			continue // deleted since
+		}
 		if r.Deleted {
 			changes = f.drop(r.Key, now, hold, changes)
 			continue
@@ -336,20 +340,20 @@
 }
 
 // Merge applies the changes that a peer's copy has and this one lacks, or a peer's
-// copy of the whole table if complete is set, if it is newer. Rows that the peer has
-// deleted are deleted without a hold: the peer has already held them.
-func (f *Feed) Merge(page rowstore.Page, complete bool) {
+// copy of the whole table if complete is set. changedAt is the version of the newest change
+// that the peer announced. A copy may be older than this one: rows that this copy
+// has seen deleted stay deleted. Rows that the peer has deleted are deleted without a
+// hold: the peer has already held them.
+func (f *Feed) Merge(page rowstore.Page, complete bool, changedAt int64) {
 	f.mu.Lock()
-	version, older := f.version, f.read && page.Version <= f.version
-	if !older {
+	if page.Version > f.version {
 		f.recordNews(f.clock.Now())
 	}
 	f.mu.Unlock()
-	if older {
-		f.logger.Info("table of a peer ignored: the own copy is as new", "table", f.name, "version", version, "peer_version", page.Version, "complete", complete)
-		return
-	}
 	f.apply(page, complete, 0)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changedAt = max(f.changedAt, changedAt)
 }
 
 // Changes returns the rows that have changed after a version, or the whole table, and
--- a/internal/serving/tablefeed/tablefeed_test.go
+++ b/internal/serving/tablefeed/tablefeed_test.go
@@ -166,7 +166,7 @@
 		pass(5 * time.Second)
 		for range 4 { // the store is back, and reachable for peers only
 			store.Put(rowstore.Targets, "b", []byte("1"))
-			feed.Merge(store.Table(rowstore.Targets), true)
+			feed.Merge(store.Table(rowstore.Targets), true, 0)
 			pass(900 * time.Millisecond)
 		}
 		store.Delete(rowstore.Targets, "a")
@@ -190,14 +190,53 @@
 		store.Fail(fakestore.Refused)
 		pass(time.Second)
 		version, _ := feed.Version()
-		feed.Merge(rowstore.Page{Version: version + 3, Rows: []rowstore.Row{{Key: "c", Value: []byte("3"), Version: version + 3}}}, true)
+		feed.Merge(rowstore.Page{Version: version + 3, Rows: []rowstore.Row{{Key: "c", Value: []byte("3"), Version: version + 3}}}, true, version+3)
 		Expect(seen.get("c")).To(Equal("3"))
 		Expect(seen.get("a")).To(BeEmpty())
-		feed.Merge(rowstore.Page{Version: version + 1, Rows: []rowstore.Row{{Key: "a", Value: []byte("1"), Version: 1}}}, true)
+		feed.Merge(rowstore.Page{Version: version + 1, Rows: []rowstore.Row{{Key: "a", Value: []byte("1"), Version: 1}}}, true, version+1)
 		Expect(seen.get("a")).To(BeEmpty())
 		Expect(feed.ChangedAt()).To(Equal(version + 3))
 	})
 
+	// Guards against deletions of a peer's copy that are ignored (DRAIN).
+	It("accepts a peer's deletion of a row that it holds itself, at the same version of the store", func() {
+		begin(tablefeed.WithHold(2 * time.Second))
+		eventually("a", "1")
+		store.Fail(fakestore.Silent)
+		pass(5 * time.Second)
+		store.Delete(rowstore.Targets, "a")
+		store.Put(rowstore.Targets, "b", []byte("1"))
+		store.Fail(fakestore.None)
+		eventually("b", "1")
+		Expect(seen.get("a")).To(Equal("1"), "held")
+		feed.Merge(store.Table(rowstore.Targets), true, feed.ChangedAt())
+		Expect(seen.get("a")).To(BeEmpty())
+	})
+
+	It("knows all that a peer knows after one copy of its table", func() {
+		begin()
+		eventually("a", "1")
+		store.Fail(fakestore.Silent)
+		page := store.Table(rowstore.Targets)
+		announced := page.Version + 4
+		page.Version += 7
+		feed.Merge(page, true, announced)
+		Expect(feed.ChangedAt()).To(Equal(announced))
+	})
+
+	It("does not bring back a deleted row from an older copy of a peer", func() {
+		begin()
+		eventually("a", "1")
+		old := store.Table(rowstore.Targets)
+		store.Delete(rowstore.Targets, "a")
+		store.Put(rowstore.Targets, "b", []byte("1"))
+		eventually("b", "1")
+		Expect(seen.get("a")).To(BeEmpty())
+		feed.Merge(old, true, old.Version)
+		Expect(seen.get("a")).To(BeEmpty())
+		Expect(seen.get("b")).To(Equal("1"))
+	})
+
 	It("passes on the rows that changed, and the whole table after a deletion", func() {
 		begin()
 		eventually("a", "1")
