Report changes of a table in the order in which they are applied (CONFIG, DRAIN)

Cause: a poll and a peer's copy are applied under a lock but were reported after it, so that an older state of a row could be reported last: a target that has left would have stayed in the VM's choice although its row is gone from the table. Change: one change is applied and reported at a time.

--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -61,6 +61,10 @@
 	// maximum wait of one.
 	pollInterval, pollWait time.Duration
 
+	// applyMu is held while changes are applied and reported, so that they are reported in
+	// the order of their versions. It is locked before mu.
+	applyMu sync.Mutex
+
 	mu   sync.Mutex
 	rows map[string]rowstore.Row
 	// version is the store version up to which rows is complete, changedAt the
@@ -112,8 +116,8 @@
 }
 
 // New returns an empty copy of a table; name is its name in the log. onChange is
-// called with the changed rows in the order of the page, including deleted ones,
-// without a lock held.
+// called with the changed rows in the order of the page, including deleted ones. It
+// may call the methods that report the state of the feed, and not Merge.
 func New(store rowstore.Store, t rowstore.Table, name string, logger hclog.Logger, onChange func([]rowstore.Row), opts ...Option) *Feed {
 	f := &Feed{
 		store:    store,
@@ -259,6 +263,8 @@
 // apply applies a page of changes, or of the whole table if full is set. Rows
 // that are deleted within hold after an outage are kept until hold has passed.
 func (f *Feed) apply(page rowstore.Page, full bool, hold time.Duration) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	now := f.clock.Now()
 	f.mu.Lock()
 	var changes []rowstore.Row
@@ -319,6 +325,8 @@
 
 // expire deletes held rows whose hold time has ended.
 func (f *Feed) expire() {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	now := f.clock.Now()
 	f.mu.Lock()
 	var changes []rowstore.Row
--- a/internal/serving/tablefeed/tablefeed_test.go
+++ b/internal/serving/tablefeed/tablefeed_test.go
@@ -23,11 +23,25 @@
 
 // seenRows collects the changes that a feed reports.
 type seenRows struct {
-	mu   sync.Mutex
-	rows map[string]string
+	mu     sync.Mutex
+	rows   map[string]string
+	delays map[string]func()
+}
+
+// delay calls f before a row with the given value is recorded.
+func (s *seenRows) delay(value string, f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delays = map[string]func(){value: f}
 }
 
 func (s *seenRows) change(rows []rowstore.Row) {
+	s.mu.Lock()
+	f := s.delays[string(rows[0].Value)]
+	s.mu.Unlock()
+	if f != nil {
+		f()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rows {
@@ -237,6 +251,31 @@
 		Expect(seen.get("b")).To(Equal("1"))
 	})
 
+	// Guards against changes that are reported out of order (CONFIG, DRAIN).
+	It("reports changes of two sources in the order in which it applies them", func() {
+		begin()
+		eventually("a", "1")
+		store.Fail(fakestore.Refused)
+		page := func(value string, version int64) rowstore.Page {
+			return rowstore.Page{Version: version, Rows: []rowstore.Row{{Key: "a", Value: []byte(value), Version: version}}}
+		}
+		reporting := make(chan struct{})
+		seen.delay("older", func() {
+			close(reporting)
+			time.Sleep(100 * time.Millisecond) // time for the other merge to overtake
+		})
+		version, _ := feed.Version()
+		older := make(chan struct{})
+		go func() {
+			defer close(older)
+			feed.Merge(page("older", version+1), false, version+1)
+		}()
+		Eventually(reporting).Should(BeClosed())
+		feed.Merge(page("newer", version+2), false, version+2)
+		Eventually(older).Should(BeClosed())
+		Expect(seen.get("a")).To(Equal("newer"))
+	})
+
 	It("passes on the rows that changed, and the whole table after a deletion", func() {
 		begin()
 		eventually("a", "1")
