Bound the loads from the weight store in any window of time (CEILING)

Cause: the limiter knows the store's rate alone. After a pause the loads of one second start at once, and one second's loads follow each second: six seconds' loads in a window of five, where five and a half are tolerated. Change: besides the rate, the loads of the operators' window are counted, with their window and overage from the settings (ceiling_window_s, load_overage).

--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -72,9 +72,13 @@
 	// Held is called with the models and adapters of an engine, and the models that
 	// it is loading, after each report, after an adapter load, when a load starts
 	// and when a model starts to drain.
-	Held   func(id string, born int64, held []target.LoadedModel, coming []target.ComingModel)
-	Clock  clockwork.Clock
-	Logger hclog.Logger
+	Held func(id string, born int64, held []target.LoadedModel, coming []target.ComingModel)
+	// LoadBound returns the bound of loads from the weight store: within window, at most
+	// overage times what the store's rate allows; zero values set no bound besides
+	// the rate.
+	LoadBound func() (window time.Duration, overage float64)
+	Clock     clockwork.Clock
+	Logger    hclog.Logger
 }
 
 // Controller sends orders to engines. It is safe for concurrent use.
@@ -102,7 +106,7 @@
 
 // New returns a controller that sends no orders until Run is called.
 func New(config Config) *Controller {
-	return &Controller{Config: config, done: make(chan struct{}), loadLimiter: newLoadLimiter(), lastUsed: make(map[adapterID]time.Time)}
+	return &Controller{Config: config, done: make(chan struct{}), loadLimiter: newLoadLimiter(config.LoadBound), lastUsed: make(map[adapterID]time.Time)}
 }
 
 // Run sends orders while this VM is the leader, until ctx ends.
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -254,7 +254,8 @@
 				defer v.mu.Unlock()
 				v.held[id] = held
 			},
-			Clock: clock, Logger: hclog.NewNullLogger(),
+			LoadBound: func() (time.Duration, float64) { return 5 * time.Second, 1.1 },
+			Clock:     clock, Logger: hclog.NewNullLogger(),
 		})
 		var ctx context.Context
 		ctx, v.stop = context.WithCancel(context.Background())
--- a/internal/serving/enginecontrol/loadlimiter_test.go
+++ b/internal/serving/enginecontrol/loadlimiter_test.go
@@ -7,16 +7,20 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"fireflypier.example/fireflypier/internal/serving/policy"
 )
 
+// loadBound is the operators' usual bound.
+func loadBound() (window time.Duration, overage float64) { return 5 * time.Second, 1.1 }
+
 // TestLoadLimiterConcurrentUse calls the limiter from many goroutines, as orders
 // to several engines do; the race detector reports unguarded access.
 func TestLoadLimiterConcurrentUse(t *testing.T) {
 	g := NewWithT(t)
 	pool := &policy.Pool{Name: "p", Engine: &policy.Engine{LoadsPerSecond: 1}}
-	l := newLoadLimiter()
+	l := newLoadLimiter(loadBound)
 	now := time.Unix(1000, 0)
 	var taken atomic.Int64
 	var wg sync.WaitGroup
@@ -36,14 +40,11 @@
 // TestLoadLimiterWindow has more models to load than the limit permits, after a pause.
 func TestLoadLimiterWindow(t *testing.T) {
 	g := NewWithT(t)
-	const (
-		perSecond = 23.0
-		window    = 5 * time.Second
-		// tolerance is what operators tolerate above the rate.
-		tolerance = 1.1
-	)
+	const perSecond = 23.0
+	// tolerance is what operators tolerate of the rate.
+	window, tolerance := loadBound()
 	pool := &policy.Pool{Name: "p", Engine: &policy.Engine{LoadsPerSecond: perSecond}}
-	l := newLoadLimiter()
+	l := newLoadLimiter(loadBound)
 	start := time.Unix(1000, 0)
 	l.available(pool, start)
 	start = start.Add(time.Minute)
@@ -57,3 +58,33 @@
 	g.Expect(float64(loads)).To(BeNumerically("<=", most))
 	g.Expect(loads).To(BeNumerically(">=", int(perSecond*(window-planInterval).Seconds())), "the rate is used")
 }
+
+// TestLoadLimiterAnyWindow guards against too many loads in some window (CEILING), at the
+// rates of small and large sites and with any pauses between the loads.
+func TestLoadLimiterAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.5, 30).Draw(t, "loads a second")
+		pool := &policy.Pool{Name: "p", Engine: &policy.Engine{LoadsPerSecond: perSecond}}
+		l := newLoadLimiter(loadBound)
+		window, tolerance := loadBound()
+		now := time.Unix(1000, 0)
+		var starts []time.Time
+		for range 100 {
+			pause := rapid.IntRange(1, 20).Draw(t, "pause")
+			now = now.Add(time.Duration(pause) * planInterval)
+			for l.allow(pool, now) {
+				starts = append(starts, now)
+			}
+		}
+		most := max(1, tolerance*perSecond*window.Seconds())
+		first := 0
+		for i, last := range starts {
+			for last.Sub(starts[first]) >= window {
+				first++
+			}
+			if n := i - first + 1; float64(n) > most {
+				t.Fatalf("%d loads in %v, at most %v", n, window, most)
+			}
+		}
+	})
+}
--- a/internal/serving/machine/machine.go
+++ b/internal/serving/machine/machine.go
@@ -46,6 +46,10 @@
 	RateWindow  time.Duration
 	RateOverage float64
 	RateSlack   float64
+	// LoadWindow and LoadOverage limit the loads from the weight store: within
+	// LoadWindow, to LoadOverage times what the store's rate allows.
+	LoadWindow  time.Duration
+	LoadOverage float64
 	// OrderGap is the minimum time between orders of two VMs to one engine.
 	OrderGap time.Duration
 	// AnswerTTL is the maximum time for which callers cache directory answers.
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -167,8 +167,12 @@
 		Demand:   n.totalDemand,
 		Requests: n.view.Requests,
 		Held:     n.setInventory,
-		Clock:    n.clock,
-		Logger:   config.Logger,
+		LoadBound: func() (time.Duration, float64) {
+			b := n.bounds.Load()
+			return b.LoadWindow, b.LoadOverage
+		},
+		Clock:  n.clock,
+		Logger: config.Logger,
 	})
 	n.forward = forward.New(forward.Config{
 		Policy:  n.policy.Load,
