--- a/internal/serving/election/election.go
+++ b/internal/serving/election/election.go
@@ -60,6 +60,11 @@
 type Term struct {
 	// Fence is the fencing token of the term.
 	Fence int64
+	// Inherited is set if another process led before, and Vacancy is then the time since
+	// the end of its term when this one began.
+	Inherited bool
+	Vacancy   time.Duration
+
 	until time.Duration
 	clock boottime.Clock
 }
@@ -212,7 +217,9 @@
 		defer e.mu.Unlock()
 		e.version = result.Version
 		if e.term != nil {
-			e.term = &Term{Fence: fence, until: sent + term, clock: e.boot}
+			renewed := *e.term
+			renewed.until = sent + term
+			e.term = &renewed
 		}
 		return renewInterval
 	}
@@ -312,7 +319,13 @@
 	e.mu.Lock()
 	e.version = result.Version
 	e.fence = fence
-	e.term = &Term{Fence: e.fence, until: sent + term, clock: e.boot}
+	e.term = &Term{
+		Fence:     e.fence,
+		Inherited: version != 0 && (r.Holder != e.self || r.Incarnation != e.incarnation),
+		Vacancy:   max(0, storeTime-time.Duration(r.UntilNanos)),
+		until:     sent + term,
+		clock:     e.boot,
+	}
 	e.mu.Unlock()
 	e.logger.Info("duty taken", "fence", fence, "former_holder", r.Holder, "version", result.Version)
 	return renewInterval
--- a/internal/serving/election/election_test.go
+++ b/internal/serving/election/election_test.go
@@ -102,6 +102,26 @@
 		Expect(next.Fence()).To(BeNumerically(">", a.Term().Fence))
 	})
 
+	It("tells how long ago another leader's term ended", func() {
+		a, b := s.election(1, 1), s.election(2, 1)
+		a.Step(ctx)
+		Expect(a.Term().Inherited).To(BeFalse())
+		for b.Term() == nil {
+			s.clock.Advance(100 * time.Millisecond)
+			b.Step(ctx)
+			Expect(s.boot()).To(BeNumerically("<", 10*time.Second))
+		}
+		s.clock.Advance(700 * time.Millisecond)
+		b.Step(ctx)
+		Expect(b.Term().Inherited).To(BeTrue(), "also after a renewal")
+		Expect(b.Term().Vacancy).To(BeNumerically(">=", orderGap))
+		Expect(b.Term().Vacancy).To(BeNumerically("<", orderGap+time.Second))
+		next := s.election(2, 2)
+		next.Step(ctx)
+		Expect(next.Term().Inherited).To(BeTrue())
+		Expect(next.Term().Vacancy).To(BeZero(), "the term before had not ended")
+	})
+
 	It("continues after a renewal whose answer is lost", func() {
 		a := s.election(1, 1)
 		a.Step(ctx)
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -144,7 +144,10 @@
 	c.engines = make(map[string]*engine)
 	c.busy = make(map[string]bool)
 	c.lastUsed = make(map[adapterID]time.Time)
-	c.Logger.Info("orders begin", "fence", term.Fence)
+	if term.Inherited {
+		c.loadLimiter.inherit(c.lastDiscovery.Add(-term.Vacancy))
+	}
+	c.Logger.Info("orders begin", "fence", term.Fence, "inherited", term.Inherited, "vacancy_ms", term.Vacancy.Milliseconds())
 }
 
 // step starts placement actions and reconciles every live engine.
--- a/internal/serving/enginecontrol/loadlimiter.go
+++ b/internal/serving/enginecontrol/loadlimiter.go
@@ -1,6 +1,7 @@
 package enginecontrol
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,10 @@
 // engine that is usual.
 const orderDelay = 200 * time.Millisecond
 
+// inheritedTime is the time before the end of another leader's term for which its loads
+// are counted; it is above the usual window of the operators' bound.
+const inheritedTime = 10 * time.Second
+
 // loadLimiter limits the loads from the weight store for each pool: by the store's rate,
 // with the loads of one second at once, and by the operators' bound in any window of
 // time. It is safe for concurrent use, since orders to several engines are sent in parallel.
@@ -21,11 +26,14 @@
 
 	mu     sync.Mutex
 	byPool map[string]*poolLoads
+	// inherited is the end of the last term of another leader; zero if there was none.
+	inherited time.Time
 }
 
 // poolLoads are the recent loads of one pool.
 type poolLoads struct {
-	rate *loadlimit.Limiter
+	perSecond float64
+	rate      *loadlimit.Limiter
 	// starts are the times of the loads in the window.
 	starts []time.Time
 }
@@ -34,6 +42,17 @@
 	return &loadLimiter{bound: bound, byPool: make(map[string]*poolLoads)}
 }
 
+// inherit counts the loads that another leader may have started until the time end, also
+// for pools that are not known yet.
+func (l *loadLimiter) inherit(end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inherited = end
+	for _, loads := range l.byPool {
+		loads.inherit(end)
+	}
+}
+
 // available returns the number of loads that may start now.
 func (l *loadLimiter) available(pool *policy.Pool, now time.Time) int {
 	l.mu.Lock()
@@ -70,9 +89,29 @@
 func (l *loadLimiter) loads(pool *policy.Pool) *poolLoads {
 	loads := l.byPool[pool.Name]
 	if loads == nil {
-		loads = &poolLoads{rate: loadlimit.New()}
+		loads = &poolLoads{perSecond: pool.Engine.LoadsPerSecond, rate: loadlimit.New()}
 		loads.rate.SetLimits(pool.Engine.LoadsPerSecond, 0, 1)
+		if !l.inherited.IsZero() {
+			loads.inherit(l.inherited)
+		}
 		l.byPool[pool.Name] = loads
 	}
 	return loads
 }
+
+// inherit counts the loads that another leader may have started until the time end: those
+// of one second at once, and before them as many as the rate allows.
+func (p *poolLoads) inherit(end time.Time) {
+	if p.perSecond <= 0 {
+		return
+	}
+	burst := max(1, int(math.Ceil(p.perSecond)))
+	for range burst {
+		p.starts = append(p.starts, end)
+	}
+	spacing := time.Duration(float64(time.Second) / p.perSecond)
+	for t := end; end.Sub(t) < inheritedTime; {
+		t = t.Add(-spacing)
+		p.starts = append(p.starts, t)
+	}
+}
--- a/internal/serving/enginecontrol/loadlimiter_test.go
+++ b/internal/serving/enginecontrol/loadlimiter_test.go
@@ -88,3 +88,49 @@
 		}
 	})
 }
+
+// TestLoadLimiterInherits guards against a new leader that adds a burst to the loads of its
+// predecessor (CEILING).
+func TestLoadLimiterInherits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(1, 30).Draw(t, "loads a second")
+		pool := &policy.Pool{Name: "p", Engine: &policy.Engine{LoadsPerSecond: perSecond}}
+		window, tolerance := loadBound()
+		start := time.Unix(1000, 0)
+		former, successor := newLoadLimiter(loadBound), newLoadLimiter(loadBound)
+		former.available(pool, start)
+		end := start.Add(time.Minute)
+		quiet := time.Duration(rapid.IntRange(0, 4000).Draw(t, "quiet ms")) * time.Millisecond
+		vacancy := time.Duration(rapid.IntRange(0, 5000).Draw(t, "vacancy ms")) * time.Millisecond
+		var starts []time.Time
+		use := func(l *loadLimiter, from, to time.Time) {
+			for now := from; now.Before(to); now = now.Add(planInterval) {
+				for l.allow(pool, now) {
+					starts = append(starts, now)
+				}
+			}
+		}
+		use(former, end.Add(-5*time.Second).Add(quiet), end)
+		successor.inherit(end)
+		use(successor, end.Add(vacancy), end.Add(vacancy).Add(10*time.Second))
+		most := tolerance*perSecond*window.Seconds() + 1
+		first := 0
+		for i, last := range starts {
+			for last.Sub(starts[first]) >= window {
+				first++
+			}
+			if n := i - first + 1; float64(n) > most {
+				t.Fatalf("%d loads in %v, at most %v", n, window, most)
+			}
+		}
+		used := 0
+		for _, s := range starts {
+			if s.After(end.Add(vacancy).Add(window)) {
+				used++
+			}
+		}
+		if float64(used) < perSecond*4 {
+			t.Fatalf("only %d loads in the 5 s after the window", used)
+		}
+	})
+}
