--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -50,6 +50,8 @@
 	DeadlineExceeded
 	// NoReplica is a model without a usable target.
 	NoReplica
+	// Quarantined is a request with a part of a prompt on which engines crash.
+	Quarantined
 	// StaleConfiguration is a gateway whose configuration has not been confirmed
 	// within the freshness bound.
 	StaleConfiguration
@@ -120,6 +122,7 @@
 	RateExceeded:       {http.StatusTooManyRequests, typeRate, "rate_limit_exceeded", true, time.Second},
 	Overloaded:         {http.StatusServiceUnavailable, typeServer, "overloaded", true, time.Second},
 	DeadlineExceeded:   {http.StatusServiceUnavailable, typeServer, "deadline_exceeded", true, time.Second},
+	Quarantined:        {http.StatusServiceUnavailable, typeServer, "prompt_quarantined", true, 30 * time.Second},
 	NoReplica:          {http.StatusServiceUnavailable, typeServer, "no_replica", true, 2 * time.Second},
 	StaleConfiguration: {http.StatusServiceUnavailable, typeServer, "stale_configuration", true, time.Second},
 	StoreUnavailable:   {http.StatusServiceUnavailable, typeServer, "store_unavailable", true, 2 * time.Second},
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -15,6 +15,7 @@
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/fleetview"
 	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/transport"
 )
 
@@ -59,6 +60,9 @@
 			return err
 		}
 		j.want.Exclude = append(j.want.Exclude, choice.Target.ID)
+		if blocked := j.checkQuarantine(); blocked != nil {
+			return j.finalError(ctx, blocked)
+		}
 		if !j.mayRepeat(ctx, result) {
 			return j.finalError(ctx, err)
 		}
@@ -280,11 +284,12 @@
 	defer dog.stop()
 	answer, err := f.Sender.Send(attemptCtx, j.r, a)
 	if err != nil {
-		return j.handleSendError(ctx, ticket, c.Target.ID, err)
+		return j.handleSendError(ctx, ticket, c.Target, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	j.target, j.status = c.Target.ID, answer.Status
 	result, err := j.handleAnswer(answer, ticket, dog)
+	j.recordOutcome(ctx, c.Target, result, answer, err)
 	ticket.End(result == mayHaveRun && ctx.Err() == nil, f.Clock.Now())
 	f.Metrics.countSend(attemptResultName(result, err))
 	if err != nil {
@@ -310,7 +315,7 @@
 
 // handleSendError classifies an attempt that ended before the header of an
 // answer.
-func (j *job) handleSendError(ctx context.Context, ticket *fleetview.Ticket, id string, err error) (attemptResult, error) {
+func (j *job) handleSendError(ctx context.Context, ticket *fleetview.Ticket, t *target.Target, err error) (attemptResult, error) {
 	now := j.f.Clock.Now()
 	var unsent *transport.NotSentError
 	result := mayHaveRun
@@ -323,9 +328,10 @@
 	}
 	if result == mayHaveRun {
 		j.runs++
+		j.recordBreak(ctx, t, err)
 	}
 	j.f.Metrics.countSend(attemptResultName(result, err))
-	j.log(now).Info("attempt failed", "target", id, "attempt", j.sends, "not_sent", result == notSent, "error", err)
+	j.log(now).Info("attempt failed", "target", t.ID, "attempt", j.sends, "not_sent", result == notSent, "error", err)
 	return result, err
 }
 
@@ -344,7 +350,7 @@
 	pieces, release, err := j.f.readAnswer(answer.Body)
 	defer release()
 	if err != nil {
-		return mayHaveRun, errors.Wrap(err, "the answer could not be read completely")
+		return mayHaveRun, &brokenAnswerError{errors.Wrap(err, "the answer could not be read completely")}
 	}
 	if answer.Status < http.StatusMultipleChoices && !answer.Signed {
 		return mayHaveRun, errors.New("the answer is not signed")
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -20,6 +20,7 @@
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/fleetview"
 	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/quarantine"
 	"fireflypier.example/fireflypier/internal/serving/ratelimit"
 	"fireflypier.example/fireflypier/internal/serving/retrybudget"
 )
@@ -50,6 +51,8 @@
 	// own share of a customer's rate does not cover at the customer's lender.
 	Rates  *ratelimit.Limiter
 	Borrow func(ctx context.Context, customer string, cost float64) (ok bool, after time.Duration, err error)
+	// Quarantine keeps requests on which engines crash away from them.
+	Quarantine *quarantine.Quarantine
 	// Retries limits retries; VMs returns the number of VMs that share its bound.
 	Retries *retrybudget.Budget
 	VMs     func() int
@@ -262,6 +265,9 @@
 	}
 	j.setDeadline()
 	j.setRequirements()
+	if err := j.checkQuarantine(); err != nil {
+		return j, err
+	}
 	return j, j.charge(ctx)
 }
 
--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -23,6 +23,7 @@
 	"fireflypier.example/fireflypier/internal/serving/forward"
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/quarantine"
 	"fireflypier.example/fireflypier/internal/serving/ratelimit"
 	"fireflypier.example/fireflypier/internal/serving/retrybudget"
 	"fireflypier.example/fireflypier/internal/serving/target"
@@ -85,11 +86,12 @@
 				ok, after := lender(customer, cost)
 				return ok, after, nil
 			},
-			Retries: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Window: time.Second, Slack: 100}),
-			VMs:     func() int { return 1 },
-			Metrics: forward.NewMetrics(prometheus.NewRegistry()),
-			Clock:   clock,
-			Logger:  hclog.NewNullLogger(),
+			Quarantine: quarantine.New(func() bool { return false }, hclog.NewNullLogger()),
+			Retries:    retrybudget.New(retrybudget.Bound{Ratio: 0.2, Window: time.Second, Slack: 100}),
+			VMs:        func() int { return 1 },
+			Metrics:    forward.NewMetrics(prometheus.NewRegistry()),
+			Clock:      clock,
+			Logger:     hclog.NewNullLogger(),
 		})
 	})
 	// serve handles one request; aborted is set if the answer was aborted after
@@ -121,6 +123,40 @@
 		return text
 	}
 
+	// Guards against requests of one kind that crash one engine after the other (BUDGET).
+	It("is refused at once, and not repeated, when engines crash on a part of its prompt", func() {
+		deadly := func(r *exchange.Request) {
+			r.Prefix = []exchange.PromptPart{{ID: "shared", Tokens: 10}, {ID: "deadly", Tokens: 10}, {ID: "own", Tokens: 10}}
+		}
+		sound := func(r *exchange.Request) {
+			r.Prefix = []exchange.PromptPart{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 10}}
+		}
+		restart := func(born int64) {
+			for _, id := range []string{"e1", "e2", "e3"} {
+				view.Set(&target.Target{
+					ID: id, Born: born, Pool: "engines", Slots: 64, Address: netip.MustParseAddrPort("10.0.0.2:80"),
+					Weights: target.Weights{Models: []target.LoadedModel{{Model: "m"}}},
+				})
+			}
+		}
+		for i := range 3 {
+			sender.replies = []reply{{err: errReset}, {err: errReset}, {err: errReset}}
+			_, _, err := serve("/draft/", deadly)
+			Expect(err).To(HaveOccurred())
+			restart(int64(i + 1))
+			sender.replies = []reply{{status: http.StatusOK, body: "id: 1\n\n"}}
+			_, _, err = serve("/draft/", sound)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(300 * time.Millisecond) // crashes that coincide count once
+		}
+		sent := len(sender.attempts)
+		_, _, err := serve("/draft/", deadly)
+		Expect(failure.From(err).Kind).To(Equal(failure.Quarantined))
+		Expect(sender.attempts).To(HaveLen(sent))
+		_, _, err = serve("/draft/", sound)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("is sent with the customer that its key belongs to", func() {
 		w, _, err := serve("/look/1")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/serving/forward/metrics.go
+++ b/internal/serving/forward/metrics.go
@@ -74,6 +74,7 @@
 	rejectNoAdapter    = "no_engine_with_adapter"
 	rejectNotAvailable = "targets_unavailable"
 	rejectBusy         = "targets_busy"
+	rejectQuarantined  = "prompt_quarantined"
 )
 
 func (m *Metrics) countCharge(result string) { m.charges.WithLabelValues(result).Inc() }
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -82,9 +82,9 @@
 			j.writeHeader(answer)
 			return done, nil
 		case errors.Is(err, io.EOF):
-			return mayHaveRun, errors.New("the stream ended in the middle of an event")
+			return mayHaveRun, &brokenAnswerError{errors.New("the stream ended in the middle of an event")}
 		case err != nil:
-			return mayHaveRun, errors.Wrap(err, "the stream ended early")
+			return mayHaveRun, &brokenAnswerError{errors.Wrap(err, "the stream ended early")}
 		}
 	}
 }
--- a/internal/serving/node/delegate.go
+++ b/internal/serving/node/delegate.go
@@ -23,6 +23,7 @@
 	d.WantsWeights = n.wantsWeights()
 	seen := n.seenBy(p)
 	d.Sends, d.SendsUpto = n.view.SendsAfter(seen.sends, relation == meshpb.Relation_RELATION_TOTALS)
+	d.Suspects = n.quarantine.News(n.clock.Now())
 	n.fleet.fill(d, p.Address, relation, seen.wantsWeights || relation == meshpb.Relation_RELATION_REPORT, n.clock.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -116,6 +117,7 @@
 	if err := n.fleet.receive(p, d, now); err != nil {
 		n.Logger.Warn("totals cannot be read", "peer", p.Address, "error", err)
 	}
+	n.quarantine.Merge(d.GetSuspects(), now)
 	n.applyOthers(now)
 	n.mu.Lock()
 	s := n.received[p.Address]
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -30,6 +30,7 @@
 	"fireflypier.example/fireflypier/internal/serving/mesh"
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/policy"
+	"fireflypier.example/fireflypier/internal/serving/quarantine"
 	"fireflypier.example/fireflypier/internal/serving/ratelimit"
 	"fireflypier.example/fireflypier/internal/serving/retrybudget"
 	"fireflypier.example/fireflypier/internal/serving/rowstore"
@@ -101,6 +102,8 @@
 	engineControl *enginecontrol.Controller
 	forward       *forward.Forwarder
 
+	quarantine *quarantine.Quarantine
+
 	policy  atomic.Pointer[policy.Policy]
 	bounds  atomic.Pointer[machine.Bounds]
 	leaving atomic.Bool
@@ -174,18 +177,20 @@
 		Clock:  n.clock,
 		Logger: config.Logger,
 	})
+	n.quarantine = quarantine.New(func() bool { return n.election.Term() != nil }, config.Logger)
 	n.forward = forward.New(forward.Config{
-		Policy:  n.policy.Load,
-		View:    n.view,
-		Sender:  config.Sender,
-		Placer:  placer{n},
-		Rates:   ratelimit.New(tolerance(&s.Bounds), n.clock.Now()),
-		Borrow:  n.borrow,
-		Retries: retrybudget.New(retryBound(&s.Bounds)),
-		VMs:     func() int { return 1 + n.mesh.Size() },
-		Metrics: forward.NewMetrics(n.registry),
-		Clock:   n.clock,
-		Logger:  config.Logger,
+		Quarantine: n.quarantine,
+		Policy:     n.policy.Load,
+		View:       n.view,
+		Sender:     config.Sender,
+		Placer:     placer{n},
+		Rates:      ratelimit.New(tolerance(&s.Bounds), n.clock.Now()),
+		Borrow:     n.borrow,
+		Retries:    retrybudget.New(retryBound(&s.Bounds)),
+		VMs:        func() int { return 1 + n.mesh.Size() },
+		Metrics:    forward.NewMetrics(n.registry),
+		Clock:      n.clock,
+		Logger:     config.Logger,
 	})
 	return n, nil
 }
--- /dev/null
+++ b/internal/serving/quarantine/quarantine.go
@@ -0,0 +1,328 @@
+// Package quarantine finds the parts of prompts on which engines crash, and keeps
+// requests with them away from the engines.
+//
+// A part is suspected when requests with it are in progress at an engine that crashes. Most
+// suspects are innocent: they share the engine, or the prompt, with the part that is to
+// blame. Innocent parts are soon part of a request that is answered, which clears them; a
+// part on which engines crash never is. VMs exchange suspects, since each of them
+// sees only some of the crashes.
+//
+// The package does no I/O.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
+
+const (
+	// minCrashes is the number of crashes without an answer in between from which on a part
+	// is quarantined.
+	minCrashes = 3
+	// crashSpacing is the time within which crashes count once: engines that are lost
+	// together say little about the requests that they ran.
+	crashSpacing = 250 * time.Millisecond
+	// answerOverlap is how long before a crash an answer still clears the part.
+	answerOverlap = time.Second
+	// probeInterval is the time after the last crash, or the last probe, after which one
+	// request with a quarantined part may be sent.
+	probeInterval = time.Minute
+	// crashRetention is how long a crash is remembered, clearedRetention how long one that
+	// is cleared.
+	crashRetention   = 10 * time.Minute
+	clearedRetention = 30 * time.Second
+	// newsTime is how long a changed suspect is sent to peers.
+	newsTime = 10 * time.Second
+	// maxSuspects, maxCrashes, maxAnswered and maxNews bound the memory and the digests.
+	maxSuspects = 512
+	maxCrashes  = 16
+	maxAnswered = 2048
+	maxNews     = 32
+)
+
+// Quarantine holds the suspected parts. Its methods are safe for concurrent use.
+type Quarantine struct {
+	mayProbe func() bool
+	logger   hclog.Logger
+
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	// answered holds the time of the last answer to a request with the part.
+	answered map[uint64]time.Time
+}
+
+// suspect is a part that was being processed when engines crashed.
+type suspect struct {
+	// crashes is keyed by the incarnation of the engine.
+	crashes map[uint64]crash
+	// changed is the time of the last change of crashes, probed that of the last probe.
+	changed, probed time.Time
+	// quarantined is set if the quarantine of the part has been logged.
+	quarantined bool
+}
+
+type crash struct {
+	at      time.Time
+	cleared bool
+}
+
+// New returns a quarantine without suspects. mayProbe reports whether this VM may send a
+// request with a quarantined part once in a while, to find out whether engines still crash
+// on it; it should be true at one VM only.
+func New(mayProbe func() bool, logger hclog.Logger) *Quarantine {
+	return &Quarantine{
+		mayProbe: mayProbe,
+		logger:   logger,
+		suspects: make(map[uint64]*suspect),
+		answered: make(map[uint64]time.Time),
+	}
+}
+
+// shared returns the parts of a prompt that other requests may have as well: all but the
+// last.
+func shared(prefix []exchange.PromptPart) []exchange.PromptPart {
+	return prefix[:max(0, len(prefix)-1)]
+}
+
+func partHash(id string) uint64 { return xxhash.Sum64String(id) }
+
+func engineHash(t *target.Target) uint64 {
+	return xxhash.Sum64String(t.ID + "/" + strconv.FormatInt(t.Born, 10))
+}
+
+// RecordCrash records that an engine crashed while it processed a request with the given
+// prompt.
+func (q *Quarantine) RecordCrash(prefix []exchange.PromptPart, t *target.Target, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	engine := engineHash(t)
+	for _, part := range shared(prefix) {
+		hash := partHash(part.ID)
+		q.add(hash, engine, crash{at: now}, now)
+		q.logQuarantine(hash, part.ID)
+	}
+}
+
+// RecordAnswer records that a request with the given prompt was answered completely.
+func (q *Quarantine) RecordAnswer(prefix []exchange.PromptPart, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range shared(prefix) {
+		hash := partHash(part.ID)
+		q.answered[hash] = now
+		s := q.suspects[hash]
+		if s == nil {
+			continue
+		}
+		for engine, c := range s.crashes {
+			if !c.cleared {
+				s.crashes[engine] = crash{at: c.at, cleared: true}
+				s.changed = now
+			}
+		}
+		q.logQuarantine(hash, part.ID)
+	}
+	q.trimAnswered(now)
+}
+
+// trimAnswered bounds the memory of answers. The caller holds q.mu.
+func (q *Quarantine) trimAnswered(now time.Time) {
+	if len(q.answered) <= maxAnswered {
+		return
+	}
+	for hash, at := range q.answered {
+		if now.Sub(at) > answerOverlap || len(q.answered) > 2*maxAnswered {
+			delete(q.answered, hash)
+		}
+	}
+}
+
+// add adds a crash to a suspect. The caller holds q.mu.
+func (q *Quarantine) add(part, engine uint64, c crash, now time.Time) {
+	s := q.suspects[part]
+	if s == nil {
+		if len(q.suspects) >= maxSuspects {
+			q.evict()
+		}
+		s = &suspect{crashes: make(map[uint64]crash)}
+		q.suspects[part] = s
+	}
+	if at, ok := q.answered[part]; ok && at.After(c.at.Add(-answerOverlap)) {
+		c.cleared = true
+	}
+	old, known := s.crashes[engine]
+	if known {
+		c.at, c.cleared = old.at, old.cleared || c.cleared
+		if c == old {
+			return
+		}
+	} else if len(s.crashes) >= maxCrashes {
+		s.forgetOldest()
+	}
+	s.crashes[engine] = c
+	s.changed = now
+}
+
+// evict removes the suspect that changed least recently, and a quarantined one last. The
+// caller holds q.mu.
+func (q *Quarantine) evict() {
+	var oldest uint64
+	var found *suspect
+	for hash, s := range q.suspects {
+		older := found == nil || s.changed.Before(found.changed)
+		if found != nil && s.quarantined != found.quarantined {
+			older = !s.quarantined
+		}
+		if older {
+			oldest, found = hash, s
+		}
+	}
+	delete(q.suspects, oldest)
+}
+
+func (s *suspect) forgetOldest() {
+	var oldest uint64
+	var at time.Time
+	for engine, c := range s.crashes {
+		if at.IsZero() || c.at.Before(at) {
+			oldest, at = engine, c.at
+		}
+	}
+	delete(s.crashes, oldest)
+}
+
+// state returns the number of separate crashes that no answer has cleared, and the time of
+// the last one.
+func (s *suspect) state() (n int, last time.Time) {
+	times := make([]time.Time, 0, len(s.crashes))
+	for _, c := range s.crashes {
+		if !c.cleared {
+			times = append(times, c.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	var counted time.Time
+	for _, at := range times {
+		if counted.IsZero() || at.Sub(counted) >= crashSpacing {
+			n++
+			counted = at
+		}
+		last = at
+	}
+	return n, last
+}
+
+// logQuarantine logs the start and the end of a part's quarantine. The caller holds q.mu.
+func (q *Quarantine) logQuarantine(hash uint64, id string) {
+	s := q.suspects[hash]
+	if s == nil {
+		return
+	}
+	n, _ := s.state()
+	if quarantined := n >= minCrashes; quarantined != s.quarantined {
+		s.quarantined = quarantined
+		q.logger.Warn("prompt part", "part", id, "hash", hash, "quarantined", quarantined, "crashes", len(s.crashes), "uncleared", n)
+	}
+}
+
+// Blocked reports whether a request with the given prompt must not be sent to an engine.
+// part is then the ID of the part to blame, and after the time until such a request may be
+// tried again.
+func (q *Quarantine) Blocked(prefix []exchange.PromptPart, now time.Time) (part string, after time.Duration, blocked bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range shared(prefix) {
+		s := q.suspects[partHash(p.ID)]
+		if s == nil {
+			continue
+		}
+		n, last := s.state()
+		if n < minCrashes {
+			continue
+		}
+		if s.probed.After(last) {
+			last = s.probed
+		}
+		after := last.Add(probeInterval).Sub(now)
+		if after <= 0 && q.mayProbe() {
+			s.probed = now
+			q.logger.Info("request with a quarantined part is sent as a probe", "part", p.ID)
+			continue
+		}
+		return p.ID, max(after, probeInterval/2), true
+	}
+	return "", 0, false
+}
+
+// News returns the suspects for a peer: the quarantined ones, and those that have changed
+// lately.
+func (q *Quarantine) News(now time.Time) []*meshpb.Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.expire(now)
+	type ranked struct {
+		hash uint64
+		s    *suspect
+		n    int
+	}
+	var news []ranked
+	for hash, s := range q.suspects {
+		n, _ := s.state()
+		if n >= minCrashes || now.Sub(s.changed) < newsTime {
+			news = append(news, ranked{hash, s, n})
+		}
+	}
+	slices.SortFunc(news, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.n, a.n), b.s.changed.Compare(a.s.changed), cmp.Compare(a.hash, b.hash))
+	})
+	out := make([]*meshpb.Suspect, 0, min(len(news), maxNews))
+	for _, r := range news[:min(len(news), maxNews)] {
+		w := &meshpb.Suspect{Part: r.hash}
+		for engine, c := range r.s.crashes {
+			w.Crashes = append(w.Crashes, &meshpb.Crash{Engine: engine, AgeMs: now.Sub(c.at).Milliseconds(), Cleared: c.cleared})
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// expire forgets old crashes. The caller holds q.mu.
+func (q *Quarantine) expire(now time.Time) {
+	for hash, s := range q.suspects {
+		for engine, c := range s.crashes {
+			age := now.Sub(c.at)
+			if age > crashRetention || (c.cleared && age > clearedRetention) {
+				delete(s.crashes, engine)
+			}
+		}
+		if len(s.crashes) == 0 {
+			delete(q.suspects, hash)
+		}
+	}
+}
+
+// Merge adds the suspects of a peer.
+func (q *Quarantine) Merge(news []*meshpb.Suspect, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, w := range news[:min(len(news), maxNews)] {
+		for _, c := range w.GetCrashes() {
+			age := time.Duration(max(0, c.GetAgeMs())) * time.Millisecond
+			if age > crashRetention {
+				continue
+			}
+			q.add(w.GetPart(), c.GetEngine(), crash{at: now.Add(-age), cleared: c.GetCleared()}, now)
+		}
+		q.logQuarantine(w.GetPart(), "")
+	}
+}
--- /dev/null
+++ b/internal/serving/quarantine/quarantine_test.go
@@ -0,0 +1,128 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/quarantine"
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
+
+func newQuarantine(probes bool) *quarantine.Quarantine {
+	return quarantine.New(func() bool { return probes }, hclog.NewNullLogger())
+}
+
+func prompt(ids ...string) []exchange.PromptPart {
+	var parts []exchange.PromptPart
+	for _, id := range ids {
+		parts = append(parts, exchange.PromptPart{ID: id, Tokens: 100})
+	}
+	return append(parts, exchange.PromptPart{ID: "own", Tokens: 100})
+}
+
+func engine(i int) *target.Target { return &target.Target{ID: fmt.Sprint("e", i), Born: 1} }
+
+func blocked(q *quarantine.Quarantine, prefix []exchange.PromptPart, now time.Time) bool {
+	_, _, is := q.Blocked(prefix, now)
+	return is
+}
+
+// TestDeadlyPartIsQuarantined guards against requests of one kind that crash one engine
+// after the other (BUDGET), and against refusals of sound ones that share other parts (LOST).
+func TestDeadlyPartIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	q := newQuarantine(false)
+	now := time.Unix(1000, 0)
+	for i := range 3 {
+		g.Expect(blocked(q, prompt("shared", "deadly"), now)).To(BeFalse())
+		q.RecordCrash(prompt("shared", "deadly"), engine(i), now)
+		q.RecordCrash(prompt("shared", "other"), engine(i), now) // in progress at the same engine
+		now = now.Add(500 * time.Millisecond)
+		q.RecordAnswer(prompt("shared"), now)
+		now = now.Add(100 * time.Millisecond)
+		q.RecordAnswer(prompt("shared", "other"), now)
+	}
+	g.Expect(blocked(q, prompt("new", "deadly"), now)).To(BeTrue(), "whatever else the prompt holds")
+	g.Expect(blocked(q, prompt("shared"), now)).To(BeFalse())
+	g.Expect(blocked(q, prompt("shared", "other"), now)).To(BeFalse())
+	now = now.Add(90 * time.Second)
+	g.Expect(blocked(q, prompt("deadly"), now)).To(BeTrue(), "this VM may not probe")
+}
+
+// TestLostEnginesQuarantineNothing guards against refusals after engines that are lost at
+// the same time (LOST).
+func TestLostEnginesQuarantineNothing(t *testing.T) {
+	g := NewWithT(t)
+	q := newQuarantine(false)
+	now := time.Unix(1000, 0)
+	for i := range 8 {
+		q.RecordCrash(prompt("rare"), engine(i), now.Add(time.Duration(i)*20*time.Millisecond))
+	}
+	g.Expect(blocked(q, prompt("rare"), now.Add(time.Second))).To(BeFalse())
+}
+
+// TestProbeEndsQuarantine checks that a part is tried again, by one request at a time.
+func TestProbeEndsQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	q := newQuarantine(true)
+	now := time.Unix(1000, 0)
+	for i := range 3 {
+		now = now.Add(time.Second)
+		q.RecordCrash(prompt("p"), engine(i), now)
+	}
+	g.Expect(blocked(q, prompt("p"), now.Add(30*time.Second))).To(BeTrue())
+	now = now.Add(time.Minute)
+	g.Expect(blocked(q, prompt("p"), now)).To(BeFalse(), "the probe")
+	g.Expect(blocked(q, prompt("p"), now.Add(time.Second))).To(BeTrue(), "one at a time")
+	q.RecordAnswer(prompt("p"), now.Add(2*time.Second))
+	g.Expect(blocked(q, prompt("p"), now.Add(3*time.Second))).To(BeFalse())
+}
+
+// TestVMsShareSuspects draws which VM sees which crash and answer. After each has heard of
+// the others, the deadly part is blocked everywhere and no other one is.
+func TestVMsShareSuspects(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(2, 6).Draw(t, "VMs")
+		var all []*quarantine.Quarantine
+		for range vms {
+			all = append(all, newQuarantine(false))
+		}
+		now := time.Unix(1000, 0)
+		exchangeNews := func() {
+			for range 2 {
+				for _, a := range all {
+					for _, b := range all {
+						b.Merge(a.News(now), now)
+					}
+				}
+			}
+		}
+		vm := func(what string) *quarantine.Quarantine {
+			return all[rapid.IntRange(0, vms-1).Draw(t, what)]
+		}
+		for i := range 5 {
+			vm("crash seen by").RecordCrash(prompt("shared", "deadly"), engine(i), now)
+			now = now.Add(time.Duration(rapid.IntRange(260, 3000).Draw(t, "ms to the answer")) * time.Millisecond)
+			vm("answer seen by").RecordAnswer(prompt("shared"), now)
+			if rapid.Bool().Draw(t, "exchange") {
+				exchangeNews()
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+		exchangeNews()
+		for i, q := range all {
+			if !blocked(q, prompt("deadly"), now) {
+				t.Fatalf("VM %d sends requests with the deadly part", i)
+			}
+			if blocked(q, prompt("shared"), now) {
+				t.Fatalf("VM %d refuses sound requests", i)
+			}
+		}
+	})
+}
