--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -72,6 +72,9 @@
 	// Repeatable allows the transport to send the request again if a reused
 	// connection turns out to be closed.
 	Repeatable bool
+	// TriedBefore is set if the request was sent to the target before: an answer to the
+	// earlier attempt must not be taken for one to this.
+	TriedBefore bool
 }
 
 // Answer is the header of a target's answer, with its body still to be read.
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -265,6 +266,8 @@
 	}
 	j.sends++
 	a := &exchange.Attempt{Target: c.Target, TimeLimit: left, Rank: j.want.Rank, Repeatable: j.route.Kind == policy.Idempotent}
+	a.TriedBefore = slices.Contains(j.tried, c.Target.ID)
+	j.tried = append(j.tried, c.Target.ID)
 	if j.customer != nil {
 		a.Customer = j.customer.Name
 	}
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -188,6 +188,8 @@
 	// sends counts attempts; runs counts those that may have run the request.
 	sends, runs      int
 	adapterRequested bool
+	// tried holds the IDs of the targets to which the request was sent.
+	tried []string
 	// missingSince is when the request first found that no engine has loaded its
 	// weights; zero if that did not happen.
 	missingSince time.Time
--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -520,6 +520,20 @@
 		Expect(sender.attempts[0].Target.ID).To(Equal("e3"))
 	})
 
+	// Guards against a refusal of the first attempt that is taken for one of the second (TWICE).
+	It("is sent on a new connection to a target that has refused it", func() {
+		sender.replies = []reply{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}}
+		_, _, err := serve("/look/1")
+		Expect(err).NotTo(HaveOccurred())
+		tried := map[string]bool{}
+		for _, a := range sender.attempts {
+			Expect(a.TriedBefore).To(Equal(tried[a.Target.ID]))
+			tried[a.Target.ID] = true
+		}
+		Expect(sender.attempts).To(HaveLen(4))
+		Expect(tried).To(HaveLen(3))
+	})
+
 	It("is not sent again to an engine that answers that it lacks the weights", func() {
 		sender.replies = []reply{{status: 421, misdirected: true}, {status: 421, misdirected: true}}
 		_, _, err := serve("/draft/1")
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -99,13 +99,30 @@
 	return context.WithValue(ctx, repeatableKey{}, true)
 }
 
+type ownConnectionKey struct{}
+
+// WithOwnConnection returns a context whose requests use no connection that was used before.
+func WithOwnConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, ownConnectionKey{}, true)
+}
+
+type checkKey struct{}
+
+// WithCheck returns a context whose requests fail with the error that check returns for the
+// header of the answer. The connection is then closed: an answer that belongs to another
+// request may be followed by more of them.
+func WithCheck(ctx context.Context, check func(*http.Response) error) context.Context {
+	return context.WithValue(ctx, checkKey{}, check)
+}
+
 // RoundTrip sends r once, unless its context allows repetition. A request without a
 // body that must not be repeated uses a connection of its own, because http.Transport
 // repeats such a request if a reused connection breaks after the request was written.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	base := t.pooled
 	empty := r.Body == nil || r.Body == http.NoBody
-	if empty && r.Context().Value(repeatableKey{}) == nil {
+	own := r.Context().Value(ownConnectionKey{}) != nil
+	if own || (empty && r.Context().Value(repeatableKey{}) == nil) {
 		base = t.single
 	}
 	trace := &requestTrace{}
@@ -114,7 +131,17 @@
 	if err != nil && !trace.mayHaveSent() {
 		err = NewNotSentError(err)
 	}
-	return answer, err
+	if err != nil {
+		return nil, err
+	}
+	if check, ok := r.Context().Value(checkKey{}).(func(*http.Response) error); ok {
+		if err := check(answer); err != nil {
+			trace.mayHaveSent()
+			_ = answer.Body.Close() // the connection is closed
+			return nil, err
+		}
+	}
+	return answer, nil
 }
 
 // CloseIdleConnections closes the connections that are not in use.
