Test streams whose next engines answer with an error

From the reports of other operators: error texts within a stream, or streams that end as if complete, after a stream has broken off and the next engine has failed. It cannot happen here: six kinds of error answers abort the stream after its last whole event.

--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -316,6 +316,25 @@
 		Expect(w.Body.String()).To(Equal(events("1")))
 	})
 
+	// Guards against error answers within a stream, and against streams that end too early
+	// and look complete (ORDER, MIXED).
+	DescribeTable("aborts a stream whose next engines answer with an error",
+		func(status int, notRun bool) {
+			failed := reply{status: status, body: "error: no such thing\n\n", notRun: notRun}
+			sender.replies = []reply{{status: 200, body: "id: 1\n\n", breaks: true}, failed, failed, failed}
+			w, aborted, _ := serve("/draft/1")
+			Expect(aborted).To(BeTrue())
+			Expect(w.Code).To(Equal(http.StatusOK))
+			Expect(w.Body.String()).To(Equal("id: 1\n\n"))
+		},
+		Entry("that may have run it", 500, false),
+		Entry("that has not run it", 503, true),
+		Entry("that says 'not run' without promising it", 503, false),
+		Entry("of the request", 404, false),
+		Entry("by a redirection", 302, false),
+		Entry("by an empty success", 204, false),
+	)
+
 	It("aborts a broken stream that may not be resumed", func() {
 		sender.replies = []reply{{status: 200, body: events("1"), breaks: true}}
 		w, aborted, _ := serve("/once/1")
