Heed what targets say in their answers: that they leave, or want no requests for a while (DRAIN, BUDGET)

Nothing read Server-Leaving or the Retry-After of a target's 503. A VM that the store turns away has no other source for a departure than the target's own answers. Change: an answer with either sets a mark for the target's incarnation, in one place of fleetview, which outlives the target's row: an older row does not bring the target back, a new incarnation starts clean. A leaving target is chosen by nobody here and counts as draining for the placement; one that wants distance is left out until then, at most five minutes. If that leaves none, the caller is refused at once with the earliest return.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -83,6 +83,9 @@
 	// those that hold at least its model, InPool those of the pool that accept
 	// work. WithModel is 0 for a plain service.
 	Candidates, WithModel, InPool int
+	// Returns is the earliest time at which a target that wants no request now takes
+	// requests again; zero if there is no such target.
+	Returns time.Time
 }
 
 // View is this VM's view of the targets. Its methods are safe for concurrent
@@ -100,6 +103,8 @@
 	herding  herding
 	// paces are by pool.
 	paces map[string]*pace
+	// marks are by target.
+	marks map[string]*mark
 }
 
 // New returns an empty view for a VM in a data centre.
@@ -109,6 +114,7 @@
 		targets:    make(map[string]*state),
 		changed:    make(chan struct{}),
 		paces:      make(map[string]*pace),
+		marks:      make(map[string]*mark),
 	}
 }
 
@@ -148,13 +154,20 @@
 	return v.changed
 }
 
-// Targets returns all known targets, ordered by id.
+// Targets returns all known targets, ordered by id. Those that have said that they leave
+// are draining.
 func (v *View) Targets() []*target.Target {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	all := make([]*target.Target, 0, len(v.targets))
 	for _, s := range v.targets {
-		all = append(all, s.target)
+		t := s.target
+		if v.leaving(s) && !t.Draining {
+			draining := *t
+			draining.Draining = true
+			t = &draining
+		}
+		all = append(all, t)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
@@ -318,6 +331,12 @@
 	pace := v.paces[r.Pool.Name].factor()
 	spread := time.Duration(pace * float64(v.herding.spread(r.PromptTokens, len(eligible), now)))
 	for _, s := range eligible {
+		if until := v.distantUntil(s); now.Before(until) {
+			if c.Returns.IsZero() || until.Before(c.Returns) {
+				c.Returns = until
+			}
+			continue
+		}
 		if slices.Contains(r.Exclude, s.target.ID) || now.Before(s.backoffUntil) {
 			continue
 		}
@@ -338,7 +357,7 @@
 func (v *View) eligible(r *Requirements, c *Choice, now time.Time) []*state {
 	var eligible []*state
 	for _, s := range v.targets {
-		if s.target.Pool != r.Pool.Name || s.target.Draining {
+		if s.target.Pool != r.Pool.Name || s.target.Draining || v.leaving(s) {
 			continue
 		}
 		c.InPool++
--- /dev/null
+++ b/internal/serving/fleetview/marks.go
@@ -0,0 +1,88 @@
+package fleetview
+
+import "time"
+
+const (
+	// maxDistance is the longest time for which a target may keep this VM's requests away.
+	maxDistance = 5 * time.Minute
+	// markRetention is how long a mark outlives its target's row, so that an older row
+	// that arrives late does not bring the target back.
+	markRetention = 10 * time.Minute
+)
+
+// mark is what a target has said in its answers about further requests. It holds for one
+// incarnation of the target, also while its row is missing.
+type mark struct {
+	born    int64
+	leaving bool
+	// distantUntil is the end of the time for which the target wants no request.
+	distantUntil time.Time
+	at           time.Time
+}
+
+// SetLeaving records that an incarnation of a target has said that it leaves. It gets no
+// more requests, whatever its row says. It reports whether that is new.
+func (v *View) SetLeaving(id string, born int64, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m := v.markOf(id, born, now)
+	if m == nil || m.leaving {
+		return false
+	}
+	m.leaving = true
+	v.notify()
+	return true
+}
+
+// SetDistance records that an incarnation of a target wants no request from this VM for d.
+// It returns the end of that time; a shorter time does not replace a longer one.
+func (v *View) SetDistance(id string, born int64, d time.Duration, now time.Time) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m := v.markOf(id, born, now)
+	if m == nil {
+		return now
+	}
+	if until := now.Add(min(d, maxDistance)); until.After(m.distantUntil) {
+		m.distantUntil = until
+	}
+	return m.distantUntil
+}
+
+// markOf returns the mark of an incarnation, which it creates if there is none, and nil if
+// a later incarnation is known. The caller holds v.mu.
+func (v *View) markOf(id string, born int64, now time.Time) *mark {
+	for other, m := range v.marks {
+		if now.Sub(m.at) > markRetention && v.targets[other] == nil {
+			delete(v.marks, other)
+		}
+	}
+	if s := v.targets[id]; s != nil && s.target.Born > born {
+		return nil
+	}
+	m := v.marks[id]
+	switch {
+	case m != nil && m.born > born:
+		return nil
+	case m == nil || m.born < born:
+		m = &mark{born: born}
+		v.marks[id] = m
+	}
+	m.at = now
+	return m
+}
+
+// leaving reports whether the target has said that it leaves. The caller holds v.mu.
+func (v *View) leaving(s *state) bool {
+	m := v.marks[s.target.ID]
+	return m != nil && m.born == s.target.Born && m.leaving
+}
+
+// distantUntil returns the time until which the target wants no request. The caller holds
+// v.mu.
+func (v *View) distantUntil(s *state) time.Time {
+	if m := v.marks[s.target.ID]; m != nil && m.born == s.target.Born {
+		return m.distantUntil
+	}
+	return time.Time{}
+}
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -133,6 +133,9 @@
 			j.retryExcluded, j.want.Exclude = true, nil
 			continue
 		}
+		if c.Candidates == 0 && !c.Returns.IsZero() {
+			return c, j.refuse(now, &c, spread(c.Returns.Sub(now)))
+		}
 		if j.pool.Engine == nil || j.sends > 0 {
 			return c, j.refuse(now, &c, busyRetryAfter)
 		}
@@ -290,6 +293,7 @@
 		return j.handleSendError(ctx, ticket, c.Target, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	j.observeMarks(c.Target, answer)
 	j.target, j.status = c.Target.ID, answer.Status
 	result, err := j.handleAnswer(answer, ticket, dog)
 	j.recordOutcome(ctx, c.Target, result, answer, err)
--- a/internal/serving/forward/fakes_test.go
+++ b/internal/serving/forward/fakes_test.go
@@ -21,6 +21,8 @@
 	breaks      bool
 	notRun      bool
 	misdirected bool
+	leaving     bool
+	distance    time.Duration
 	err         error
 	hang        bool
 	// endless is repeated after body without end.
@@ -72,6 +74,7 @@
 	return &exchange.Answer{
 		Status: r.status, Header: http.Header{"X-Target": {a.Target.ID}}, Body: io.NopCloser(body),
 		NotRun: r.notRun || r.misdirected, Misdirected: r.misdirected, Signed: !r.notRun && !r.misdirected,
+		Leaving: r.leaving, Distance: r.distance,
 	}, nil
 }
 
--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -539,6 +539,60 @@
 		Expect(sender.attempts[0].Target.ID).To(Equal("e3"))
 	})
 
+	// Guards against requests for targets that have said in an answer that they leave (DRAIN).
+	It("is not sent to a target that has answered that it leaves, until its next incarnation", func() {
+		sender.replies = []reply{{status: 200, body: "1", leaving: true}}
+		_, _, err := serve("/look/1")
+		Expect(err).NotTo(HaveOccurred())
+		left := sender.attempts[0].Target
+		older := *left
+		view.Remove(left.ID)
+		view.Set(&older) // an older row of the store
+		for range 60 {
+			_, _, err := serve("/look/1")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for _, a := range sender.attempts[1:] {
+			Expect(a.Target.ID).NotTo(Equal(left.ID))
+		}
+		next := *left
+		next.Born++
+		view.Set(&next)
+		Eventually(func() string {
+			_, _, err := serve("/look/1")
+			Expect(err).NotTo(HaveOccurred())
+			return sender.attempts[len(sender.attempts)-1].Target.ID
+		}).Should(Equal(left.ID))
+	})
+
+	// Guards against requests for targets that have asked for distance (BUDGET).
+	It("is refused at once with the earliest return while all targets want no requests", func() {
+		for _, d := range []time.Duration{20 * time.Second, 10 * time.Second, 30 * time.Second} {
+			sender.replies = append(sender.replies, reply{status: 503, notRun: true, distance: d})
+		}
+		_, _, err := serve("/look/1")
+		Expect(failure.From(err).Kind).To(Equal(failure.NoReplica))
+		Expect(sender.attempts).To(HaveLen(3))
+		for range 20 {
+			began := time.Now()
+			_, _, err = serve("/look/1")
+			Expect(failure.From(err).RetryAfter).To(BeNumerically("~", 11*time.Second, 1100*time.Millisecond))
+			Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+		}
+		Expect(sender.attempts).To(HaveLen(3))
+	})
+
+	It("is sent to a target again after the time for which it wanted no requests", func() {
+		for range 3 {
+			sender.replies = append(sender.replies, reply{status: 503, notRun: true, distance: 100 * time.Millisecond})
+		}
+		_, _, err := serve("/look/1")
+		Expect(err).To(HaveOccurred())
+		time.Sleep(150 * time.Millisecond)
+		_, _, err = serve("/look/1")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against a refusal of the first attempt that is taken for one of the second (TWICE).
 	It("is sent on a new connection to a target that has refused it", func() {
 		sender.replies = []reply{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}}
--- a/internal/serving/forward/metrics.go
+++ b/internal/serving/forward/metrics.go
@@ -14,6 +14,7 @@
 	sends    *prometheus.CounterVec
 	charges  *prometheus.CounterVec
 	rejected *prometheus.CounterVec
+	marks    *prometheus.CounterVec
 	waits    prometheus.Histogram
 }
 
@@ -45,13 +46,17 @@
 			Name: "fireflypier_serving_rejections_total",
 			Help: "Requests rejected because no target can serve them in time, by reason.",
 		}, []string{"reason"}),
+		marks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflypier_serving_target_marks_total",
+			Help: "Answers in which a target said that it leaves or wants no requests for a while.",
+		}, []string{"mark"}),
 		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "fireflypier_serving_weights_wait_seconds",
 			Help:    "Time for which requests waited for weights before they were sent.",
 			Buckets: latencyBuckets,
 		}),
 	}
-	registry.MustRegister(m.requests, m.duration, m.sends, m.charges, m.rejected, m.waits)
+	registry.MustRegister(m.requests, m.duration, m.sends, m.charges, m.rejected, m.marks, m.waits)
 	return m
 }
 
@@ -62,7 +67,7 @@
 
 func (m *Metrics) countSend(outcome string) { m.sends.WithLabelValues(outcome).Inc() }
 
-// The results of charges, as metric labels.
+// The results of charges, the reasons of rejections and the marks of targets, as metric labels.
 const (
 	chargeOwn          = "own_share"
 	chargeLent         = "lent"
@@ -75,8 +80,12 @@
 	rejectNotAvailable = "targets_unavailable"
 	rejectBusy         = "targets_busy"
 	rejectQuarantined  = "prompt_quarantined"
+	markLeaving        = "leaving"
+	markDistance       = "distance"
 )
 
 func (m *Metrics) countCharge(result string) { m.charges.WithLabelValues(result).Inc() }
 
+func (m *Metrics) countMark(mark string) { m.marks.WithLabelValues(mark).Inc() }
+
 func (m *Metrics) countRejection(reason string) { m.rejected.WithLabelValues(reason).Inc() }
--- a/internal/serving/forward/suspects.go
+++ b/internal/serving/forward/observe.go
@@ -52,3 +52,17 @@
 		j.f.Quarantine.RecordAnswer(j.r.Prefix, j.f.Clock.Now())
 	}
 }
+
+// observeMarks records what a target says in its answer about further requests.
+func (j *job) observeMarks(t *target.Target, answer *exchange.Answer) {
+	now := j.f.Clock.Now()
+	if answer.Leaving && j.f.View.SetLeaving(t.ID, t.Born, now) {
+		j.f.Metrics.countMark(markLeaving)
+		j.log(now).Info("target leaves", "target", t.ID, "born", t.Born, "source", "answer")
+	}
+	if answer.Distance > 0 {
+		until := j.f.View.SetDistance(t.ID, t.Born, answer.Distance, now)
+		j.f.Metrics.countMark(markDistance)
+		j.log(now).Info("target wants no requests for a while", "target", t.ID, "asked_ms", answer.Distance.Milliseconds(), "kept_ms", until.Sub(now).Milliseconds())
+	}
+}
