--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -143,6 +143,11 @@
 			sender.replies = []reply{{err: errReset}, {err: errReset}, {err: errReset}}
 			_, _, err := serve("/draft/", deadly)
 			Expect(err).To(HaveOccurred())
+			if i < 2 {
+				sender.replies = []reply{{status: http.StatusNotFound}}
+				_, _, err = serve("/draft/", deadly)
+				Expect(err).NotTo(HaveOccurred(), "an error answer does not clear the part")
+			}
 			restart(int64(i + 1))
 			sender.replies = []reply{{status: http.StatusOK, body: "id: 1\n\n"}}
 			_, _, err = serve("/draft/", sound)
--- a/internal/serving/forward/observe.go
+++ b/internal/serving/forward/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -48,7 +49,7 @@
 	switch {
 	case errors.As(err, &broken):
 		j.recordBreak(ctx, t, err)
-	case result == done && err == nil && answer.Signed && len(j.r.Prefix) > 0:
+	case result == done && err == nil && answer.Status == http.StatusOK && answer.Signed && len(j.r.Prefix) > 0:
 		j.f.Quarantine.RecordAnswer(j.r.Prefix, j.f.Clock.Now())
 	}
 }
--- a/internal/serving/quarantine/quarantine.go
+++ b/internal/serving/quarantine/quarantine.go
@@ -166,6 +166,8 @@
 		if c == old {
 			return
 		}
+	} else if s.coincides(c) {
+		return // it would count once with another one
 	} else if len(s.crashes) >= maxCrashes {
 		s.forgetOldest()
 	}
@@ -190,6 +192,16 @@
 	delete(q.suspects, oldest)
 }
 
+// coincides reports whether another crash in the same state is within crashSpacing of c.
+func (s *suspect) coincides(c crash) bool {
+	for _, other := range s.crashes {
+		if other.cleared == c.cleared && other.at.Sub(c.at).Abs() < crashSpacing {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *suspect) forgetOldest() {
 	var oldest uint64
 	var at time.Time
--- a/internal/serving/quarantine/quarantine_test.go
+++ b/internal/serving/quarantine/quarantine_test.go
@@ -67,6 +67,29 @@
 	g.Expect(blocked(q, prompt("rare"), now.Add(time.Second))).To(BeFalse())
 }
 
+// TestManyCrashesAtOnce guards against a part that crashes engines so often that its
+// crashes push each other out (BUDGET on the full-size day).
+func TestManyCrashesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	var vms []*quarantine.Quarantine
+	for range 5 {
+		vms = append(vms, newQuarantine(false))
+	}
+	for i := range 160 {
+		now = now.Add(30 * time.Millisecond)
+		vms[i%5].RecordCrash(prompt("deadly"), engine(i), now)
+		for _, q := range vms {
+			q.Merge(vms[i%5].News(now), now)
+		}
+		if i > 60 {
+			for _, q := range vms {
+				g.Expect(blocked(q, prompt("deadly"), now)).To(BeTrue(), "after crash %d", i)
+			}
+		}
+	}
+}
+
 // TestProbeEndsQuarantine checks that a part is tried again, by one request at a time.
 func TestProbeEndsQuarantine(t *testing.T) {
 	g := NewWithT(t)
