--- a/internal/serving/quarantine/quarantine.go
+++ b/internal/serving/quarantine/quarantine.go
@@ -161,14 +161,15 @@
 		c.cleared = true
 	}
 	old, known := s.crashes[engine]
-	if known {
+	switch {
+	case known:
 		c.at, c.cleared = old.at, old.cleared || c.cleared
 		if c == old {
 			return
 		}
-	} else if s.coincides(c) {
+	case s.coincides(c):
 		return // it would count once with another one
-	} else if len(s.crashes) >= maxCrashes {
+	case len(s.crashes) >= maxCrashes:
 		s.forgetOldest()
 	}
 	s.crashes[engine] = c
