Collect the suspects for peers ten times a second, and send them for three seconds

A hub exchanges some 300 times a second; with hundreds of suspects after many crashes it would have sorted them each time, and sent them for ten seconds. Estimated from the code, not measured.

--- a/internal/serving/quarantine/quarantine.go
+++ b/internal/serving/quarantine/quarantine.go
@@ -41,8 +41,10 @@
 	// is cleared.
 	crashRetention   = 10 * time.Minute
 	clearedRetention = 30 * time.Second
-	// newsTime is how long a changed suspect is sent to peers.
-	newsTime = 10 * time.Second
+	// newsTime is how long a changed suspect is sent to peers: a few exchanges, over hubs.
+	newsTime = 3 * time.Second
+	// newsInterval is the time for which the news for peers are not collected again.
+	newsInterval = 100 * time.Millisecond
 	// maxSuspects, maxCrashes, maxAnswered and maxNews bound the memory and the digests.
 	maxSuspects = 512
 	maxCrashes  = 16
@@ -59,6 +61,9 @@
 	suspects map[uint64]*suspect
 	// answered holds the time of the last answer to a request with the part.
 	answered map[uint64]time.Time
+	// news are the suspects for peers, as of newsAt.
+	news   []*meshpb.Suspect
+	newsAt time.Time
 }
 
 // suspect is a part that was being processed when engines crashed.
@@ -278,10 +283,13 @@
 }
 
 // News returns the suspects for a peer: the quarantined ones, and those that have changed
-// lately.
+// lately. They may be newsInterval old, and must not be changed.
 func (q *Quarantine) News(now time.Time) []*meshpb.Suspect {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if now.Sub(q.newsAt) < newsInterval {
+		return q.news
+	}
 	q.expire(now)
 	type ranked struct {
 		hash uint64
@@ -306,6 +314,7 @@
 		}
 		out = append(out, w)
 	}
+	q.news, q.newsAt = out, now
 	return out
 }
 
--- a/internal/serving/quarantine/quarantine_test.go
+++ b/internal/serving/quarantine/quarantine_test.go
@@ -119,6 +119,7 @@
 		now := time.Unix(1000, 0)
 		exchangeNews := func() {
 			for range 2 {
+				now = now.Add(100 * time.Millisecond)
 				for _, a := range all {
 					for _, b := range all {
 						b.Merge(a.News(now), now)
