--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -361,7 +361,13 @@
 	f.apply(page, complete, 0)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.changedAt = max(f.changedAt, changedAt)
+	if changedAt <= f.changedAt {
+		return
+	}
+	f.changedAt = changedAt
+	if complete { // the change may be a deletion of a row that only others have
+		f.deletedAt = changedAt
+	}
 }
 
 // Changes returns the rows that have changed after a version, or the whole table, and
--- a/internal/serving/tablefeed/tablefeed_test.go
+++ b/internal/serving/tablefeed/tablefeed_test.go
@@ -238,6 +238,18 @@
 		Expect(feed.ChangedAt()).To(Equal(announced))
 	})
 
+	It("passes on a whole table that it took from a peer, also if it dropped nothing itself", func() {
+		begin()
+		eventually("a", "1")
+		store.Fail(fakestore.Silent)
+		above := feed.ChangedAt()
+		page := store.Table(rowstore.Targets)
+		page.Version += 7
+		feed.Merge(page, true, above+4)
+		_, complete := feed.Changes(above)
+		Expect(complete).To(BeTrue(), "a peer may still have the row that was deleted")
+	})
+
 	It("does not bring back a deleted row from an older copy of a peer", func() {
 		begin()
 		eventually("a", "1")
