--- a/internal/serving/enginecontrol/loadlimiter.go
+++ b/internal/serving/enginecontrol/loadlimiter.go
@@ -10,8 +10,8 @@
 	"fireflypier.example/fireflypier/internal/serving/policy"
 )
 
-// orderDelay is the maximum time between the permit for a load and its start at the
-// engine that is usual.
+// orderDelay covers the time from the permit for a load to its start at the engine, as
+// long as the order is answered.
 const orderDelay = 200 * time.Millisecond
 
 // inheritedTime is the time before the end of another leader's term for which its loads
@@ -34,7 +34,7 @@
 type poolLoads struct {
 	perSecond float64
 	rate      *loadlimit.Limiter
-	// starts are the times of the loads in the window.
+	// starts are the times of the loads that count in the operators' window.
 	starts []time.Time
 }
 
@@ -79,6 +79,7 @@
 	free := loads.rate.Available(now, 0)
 	window, overage := l.bound()
 	if window <= 0 || overage <= 0 || pool.Engine.LoadsPerSecond <= 0 {
+		loads.starts = nil
 		return free
 	}
 	loads.starts = slices.DeleteFunc(loads.starts, func(t time.Time) bool { return now.Sub(t) > window+orderDelay })
