Apply rows of a list whose changes were not heard (CONFIG, DRAIN)

A store that drops its history answers polls with its newest version and without the changes before it, so restarted engines stayed unknown until they wrote again. Change: the feed remembers the versions of deleted rows instead. Evidence: the spec 'takes rows from a list whose changes it did not hear' fails before.

--- a/internal/serving/fakestore/fakestore.go
+++ b/internal/serving/fakestore/fakestore.go
@@ -30,6 +30,9 @@
 	// also for calls that are in progress when the failure begins or ends. Other calls
 	// fail as with RequestLost.
 	Silent
+	// Unheard makes Follow answer with the newest version and without the changes, as a
+	// store does that drops its history.
+	Unheard
 )
 
 // followSlack is the time that Follow may take beyond its wait before it counts as
@@ -106,7 +109,7 @@
 		return true, rowstore.ErrUnanswered
 	case RequestLost, Silent:
 		return false, rowstore.ErrUnanswered
-	case None:
+	case None, Unheard:
 	}
 	return true, nil
 }
@@ -159,7 +162,7 @@
 		}
 		page := rowstore.Page{Version: s.version, Time: s.now()}
 		for _, c := range s.history {
-			if c.table == t && c.row.Version > after {
+			if s.failure != Unheard && c.table == t && c.row.Version > after {
 				page.Rows = append(page.Rows, c.row)
 			}
 		}
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -40,6 +40,8 @@
 	// minOutage is the time without an answer of the store from which on rows may lapse:
 	// targets have missed two of the three heartbeats that they may miss.
 	minOutage = 2 * time.Second
+	// maxDropped bounds the memory of deleted rows.
+	maxDropped = 4096
 	// retryInterval is the minimum time between the starts of two calls while the store
 	// fails; it keeps the calls of all VMs far below the rate that the store supports.
 	retryInterval = 400 * time.Millisecond
@@ -84,6 +86,10 @@
 	// held has the rows that the store has deleted and that are still in rows,
 	// with the time at which they are dropped.
 	held map[string]time.Time
+	// dropped has the versions of deleted rows, so that an older copy does not bring them
+	// back. A version of the table alone does not tell: the store may not announce
+	// every change.
+	dropped map[string]int64
 }
 
 // Option configures a Feed in New.
@@ -129,6 +135,7 @@
 		done:     make(chan struct{}),
 		rows:     make(map[string]rowstore.Row),
 		held:     make(map[string]time.Time),
+		dropped:  make(map[string]int64),
 	}
 	WithLag(defaultLag)(f)
 	for _, opt := range opts {
@@ -276,10 +283,11 @@
 		if ok && old.Version >= r.Version {
 			continue
 		}
-		if !ok && r.Version <= f.version {
+		if !r.Deleted && r.Version <= f.dropped[r.Key] {
 			continue // deleted since
 		}
 		if r.Deleted {
+			f.recordDrop(r.Key, r.Version)
 			changes = f.drop(r.Key, now, hold, changes)
 			continue
 		}
@@ -319,10 +327,19 @@
 	}
 	delete(f.rows, key)
 	delete(f.held, key)
+	f.recordDrop(key, row.Version)
 	f.deletedAt = f.changedAt
 	return append(changes, rowstore.Row{Key: key, Deleted: true})
 }
 
+// recordDrop records that a row was deleted at a version or later. The caller holds f.mu.
+func (f *Feed) recordDrop(key string, version int64) {
+	if len(f.dropped) >= maxDropped {
+		clear(f.dropped)
+	}
+	f.dropped[key] = max(f.dropped[key], version)
+}
+
 // expire deletes held rows whose hold time has ended.
 func (f *Feed) expire() {
 	f.applyMu.Lock()
@@ -334,6 +351,7 @@
 		if now.Before(until) {
 			continue
 		}
+		f.recordDrop(key, f.rows[key].Version)
 		delete(f.held, key)
 		delete(f.rows, key)
 		f.changedAt = max(f.changedAt, f.version) // so that peers fetch the deletion
--- a/internal/serving/tablefeed/tablefeed_test.go
+++ b/internal/serving/tablefeed/tablefeed_test.go
@@ -124,6 +124,22 @@
 		Expect(seen.get("a")).To(BeEmpty())
 	})
 
+	// Guards against rows that are taken for deleted because their change was not heard.
+	It("takes rows from a list whose changes it did not hear", func() {
+		begin()
+		eventually("a", "1")
+		store.Fail(fakestore.Unheard)
+		store.Put(rowstore.Targets, "b", []byte("1"))
+		pass(2 * time.Second)
+		store.Compact()
+		store.Put(rowstore.Targets, "c", []byte("1"))
+		store.Compact()
+		store.Fail(fakestore.None)
+		pass(4 * time.Second)
+		feed.Merge(store.Table(rowstore.Targets), true, 0)
+		Expect(seen.get("b")).To(Equal("1"))
+	})
+
 	It("keeps rows that expired during an outage until their owners had time to write them again", func() {
 		const hold = 2 * time.Second
 		begin(tablefeed.WithHold(hold))
