Send suspects to peers for half a minute, so that peers that are cut off for a while hear them

A crash that one VM alone has seen was sent for three seconds; in the schedule no exchange happens for longer, and the part stays unblocked.

--- a/internal/serving/quarantine/quarantine.go
+++ b/internal/serving/quarantine/quarantine.go
@@ -41,8 +41,9 @@
 	// is cleared.
 	crashRetention   = 10 * time.Minute
 	clearedRetention = 30 * time.Second
-	// newsTime is how long a changed suspect is sent to peers: a few exchanges, over hubs.
-	newsTime = 3 * time.Second
+	// newsTime is how long a changed suspect is sent to peers. It covers peers that are frozen
+	// or cut off for a while.
+	newsTime = 30 * time.Second
 	// newsInterval is the time for which the news for peers are not collected again.
 	newsInterval = 100 * time.Millisecond
 	// maxSuspects, maxCrashes, maxAnswered and maxNews bound the memory and the digests.
