Log the limits that targets name, and the reports of engines with limits (LIMIT)

The log could not tell a VM that does not read the limit from one that reads it and does not know what the others send, nor show which calls reach an engine besides requests. No logic changes: nothing chooses by the limit yet.

--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -280,6 +280,10 @@
 	if r.Born != e.target.Born {
 		return // wait until the target's row shows the new incarnation
 	}
+	if r.Limit.Named {
+		c.Logger.Info("report of an engine with a limit", "engine", e.target.ID, "per_second", r.Limit.PerSecond,
+			"since_last_ms", reportRequested.Sub(e.reportRequested).Milliseconds())
+	}
 	e.observe(r, reportRequested, c.Clock.Now())
 	c.publish(e)
 }
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -97,6 +97,8 @@
 	// Distance is the time for which the target wants no request from this VM; zero if
 	// it does not ask for any.
 	Distance time.Duration
+	// Limit is the limit that the target names.
+	Limit target.Limit
 }
 
 // Handler answers r on w, or returns the failure that the caller gets. hr is the
--- a/internal/serving/forward/metrics.go
+++ b/internal/serving/forward/metrics.go
@@ -48,7 +48,7 @@
 		}, []string{"reason"}),
 		marks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fireflypier_serving_target_marks_total",
-			Help: "Answers in which a target said that it leaves or wants no requests for a while.",
+			Help: "Answers in which a target said that it leaves, wants no requests for a while or has another limit.",
 		}, []string{"mark"}),
 		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "fireflypier_serving_weights_wait_seconds",
@@ -82,6 +82,7 @@
 	rejectQuarantined  = "prompt_quarantined"
 	markLeaving        = "leaving"
 	markDistance       = "distance"
+	markLimit          = "limit"
 )
 
 func (m *Metrics) countCharge(result string) { m.charges.WithLabelValues(result).Inc() }
--- a/internal/serving/forward/observe.go
+++ b/internal/serving/forward/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -54,9 +55,14 @@
 	}
 }
 
-// observeMarks records what a target says in its answer about further requests.
-func (j *job) observeMarks(t *target.Target, answer *exchange.Answer) {
+// observeMarks records what a target says in its answer about further requests; sent is
+// when the request was sent.
+func (j *job) observeMarks(t *target.Target, answer *exchange.Answer, sent time.Time) {
 	now := j.f.Clock.Now()
+	if j.f.View.SetLimit(t.ID, t.Born, answer.Limit, sent, now) {
+		j.f.Metrics.countMark(markLimit)
+		j.log(now).Info("target has another limit", "target", t.ID, "born", t.Born, "named", answer.Limit.Named, "per_second", answer.Limit.PerSecond)
+	}
 	if answer.Leaving && j.f.View.SetLeaving(t.ID, t.Born, now) {
 		j.f.Metrics.countMark(markLeaving)
 		j.log(now).Info("target leaves", "target", t.ID, "born", t.Born, "source", "answer")
--- a/internal/serving/target/target.go
+++ b/internal/serving/target/target.go
@@ -84,6 +84,15 @@
 	Weights Weights
 	// LoadingAdapters lists the adapters that are being loaded, by model.
 	LoadingAdapters map[string][]string
+	// Limit is the limit that the engine names.
+	Limit Limit
+}
+
+// Limit is the number of calls a second that a target takes from all VMs together. It
+// counts requests, reports and orders. The zero Limit is that of a target that names none.
+type Limit struct {
+	Named     bool
+	PerSecond float64
 }
 
 // Operation is what an order has an engine do.
