Keep to the limits that targets name, over all VMs together (LIMIT)

Callers saw slow and failing answers of engines in need: an engine that named a limit of 1 to 2.2 requests a second got two to three times as many. No VM read the limit; each chose by itself, and the reports and orders of the leader came on top (up to 8 reports in 4 s while a model was loaded).

A limit of a few calls a second cannot be divided among 6 or 300 VMs. Now one hub, chosen by rendezvous and the same for all VMs, reserves the time of each call to a target with a limit (package targetlimit). A request waits for a short reserved time, or another target is chosen, or it is refused at once with the time of the next call. Reports and orders need such a reservation too, and come more rarely. A substitute lends a quarter while the lender lives, and the smaller part of a divided fleet its share of VMs. The limits reach all VMs in the digests, so that a VM keeps to one before it was told itself; an answer ends a limit only if its request was sent after the limit was learned.

--- a/internal/serving/enginecontrol/engine.go
+++ b/internal/serving/enginecontrol/engine.go
@@ -8,6 +8,7 @@
 
 	"fireflypier.example/fireflypier/internal/serving/policy"
 	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/serving/targetlimit"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// request started or ended. It covers the delay of the digest that reports
 	// the next request.
 	adapterMinIdle = 700 * time.Millisecond
+	// idleReportShare is the share of an engine's limit that its reports may take while it
+	// is idle, activeReportShare that while orders are in progress.
+	idleReportShare, activeReportShare = 0.2, 0.5
 )
 
 // pendingOrder is the load or unload of a model that no report has confirmed yet.
@@ -237,6 +241,19 @@
 	return largest
 }
 
+// reportInterval returns the time between two reports of the engine. Those of an engine
+// with a limit take at most a part of it.
+func (e *engine) reportInterval(l target.Limit) time.Duration {
+	interval, share := idleReportInterval, idleReportShare
+	if e.loading != nil || e.unloading != nil || len(e.draining) > 0 || e.report == nil || e.report.Busy {
+		interval, share = activeReportInterval, activeReportShare
+	}
+	if l.Named {
+		interval = max(interval, time.Duration(float64(targetlimit.Interval(l))/share))
+	}
+	return interval
+}
+
 // ready reports whether an order may be sent: the engine has reported, is not
 // busy, and is not blocked after an earlier order.
 func (e *engine) ready(now time.Time) bool {
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -77,8 +77,14 @@
 	// overage times what the store's rate allows; zero values set no bound besides
 	// the rate.
 	LoadBound func() (window time.Duration, overage float64)
-	Clock     clockwork.Clock
-	Logger    hclog.Logger
+	// Limit returns the limit of an engine, SetLimit records the one that an engine names
+	// in a report. Permit is called before each report and order: it waits until the
+	// limit allows the call, and reports whether that was soon enough.
+	Limit    func(t *target.Target) target.Limit
+	SetLimit func(t *target.Target, l target.Limit)
+	Permit   func(ctx context.Context, t *target.Target) bool
+	Clock    clockwork.Clock
+	Logger   hclog.Logger
 }
 
 // Controller sends orders to engines. It is safe for concurrent use.
@@ -226,11 +232,7 @@
 func (c *Controller) reconcile(ctx context.Context, term *election.Term, p *policy.Policy, e *engine, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	interval := idleReportInterval
-	if e.loading != nil || e.unloading != nil || len(e.draining) > 0 || e.report == nil || e.report.Busy {
-		interval = activeReportInterval
-	}
-	if now.Sub(e.reportRequested) >= interval {
+	if now.Sub(e.reportRequested) >= e.reportInterval(c.Limit(e.target)) {
 		c.fetchReport(ctx, e)
 	}
 	if e.report == nil {
@@ -270,6 +272,10 @@
 
 // fetchReport fetches a report and publishes what the engine holds.
 func (c *Controller) fetchReport(ctx context.Context, e *engine) {
+	if !c.Permit(ctx, e.target) {
+		e.reportRequested = c.Clock.Now()
+		return
+	}
 	reportRequested := c.Clock.Now()
 	r, err := c.Engines.Report(ctx, e.target.Address)
 	if err != nil {
@@ -281,6 +287,7 @@
 		return // wait until the target's row shows the new incarnation
 	}
 	if r.Limit.Named {
+		c.SetLimit(e.target, r.Limit)
 		c.Logger.Info("report of an engine with a limit", "engine", e.target.ID, "per_second", r.Limit.PerSecond,
 			"since_last_ms", reportRequested.Sub(e.reportRequested).Milliseconds())
 	}
@@ -293,7 +300,8 @@
 // for a while after a failure.
 func (c *Controller) order(ctx context.Context, term *election.Term, e *engine, o target.Order) target.Outcome {
 	o.Expected, o.Holder, o.Fence = e.acceptedOrders, c.Name, term.Fence
-	if !term.Valid() {
+	if !c.Permit(ctx, e.target) || !term.Valid() {
+		e.blockedUntil = c.Clock.Now().Add(refusedBackoff)
 		return target.NotSent
 	}
 	outcome, err := c.Engines.Order(ctx, e.target, &o)
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -68,6 +68,43 @@
 	lossRate float64
 	sent     []*target.Order
 	to       []string
+	// limit is the limit of all engines. calls counts reports and orders, permits the
+	// calls that were permitted; none is while denies is set.
+	limit          target.Limit
+	calls, permits int
+	denies         bool
+}
+
+// permit is the Permit of the controllers.
+func (f *fleetSim) permit() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.denies {
+		return false
+	}
+	f.permits++
+	return true
+}
+
+func (f *fleetSim) setLimit(l target.Limit, denies bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limit, f.denies = l, denies
+}
+
+func (f *fleetSim) currentLimit() target.Limit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limit
+}
+
+// counts returns the calls and the permits since the last time, and resets both.
+func (f *fleetSim) counts() (calls, permits int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	calls, permits = f.calls, f.permits
+	f.calls, f.permits = 0, 0
+	return calls, permits
 }
 
 func newFleet(clock clockwork.Clock, n int, seed uint64) *fleetSim {
@@ -96,8 +133,9 @@
 func (f *fleetSim) Report(_ context.Context, addr netip.AddrPort) (*target.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	e := f.engines[addr]
-	r := &target.Report{Born: 1, Orders: e.orders, Busy: e.busy}
+	r := &target.Report{Limit: f.limit, Born: 1, Orders: e.orders, Busy: e.busy}
 	for m, adapters := range e.models {
 		h := target.LoadedModel{Model: m}
 		for a := range adapters {
@@ -111,6 +149,7 @@
 func (f *fleetSim) Order(_ context.Context, to *target.Target, o *target.Order) (target.Outcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	f.sent, f.to = append(f.sent, o), append(f.to, to.ID)
 	if f.rng.Float64() < f.lossRate {
 		delay := time.Duration(200+f.rng.IntN(3000)) * time.Millisecond
@@ -254,6 +293,9 @@
 				defer v.mu.Unlock()
 				v.held[id] = held
 			},
+			Limit:     func(*target.Target) target.Limit { return fleet.currentLimit() },
+			SetLimit:  func(*target.Target, target.Limit) {},
+			Permit:    func(context.Context, *target.Target) bool { return fleet.permit() },
 			LoadBound: func() (time.Duration, float64) { return 5 * time.Second, 1.1 },
 			Clock:     clock, Logger: hclog.NewNullLogger(),
 		})
@@ -311,6 +353,24 @@
 		Expect(fleet.orderCount()).To(Equal(before))
 	})
 
+	// Guards against reports and orders that use up the limit of an engine (LIMIT).
+	It("makes no call to an engine with a limit without a permit, and leaves most of the limit to requests", func() {
+		fleet := newFleet(clock, 1, 1)
+		v := startVM(fleet, 1)
+		advance(12 * time.Second)
+		fleet.counts()
+		fleet.setLimit(target.Limit{Named: true, PerSecond: 2}, false)
+		advance(20 * time.Second)
+		calls, permits := fleet.counts()
+		Expect(calls).To(And(Equal(permits), BeNumerically(">=", 3), BeNumerically("<=", 20*2/4)))
+		fleet.setLimit(target.Limit{Named: true, PerSecond: 2}, true)
+		v.setDemand("m3")
+		advance(8 * time.Second)
+		Expect(v.controller.LoadAdapter(context.Background(), "engines", "m1", "a1")).To(BeEmpty())
+		calls, _ = fleet.counts()
+		Expect(calls).To(BeZero())
+	})
+
 	It("loads adapters, and unloads others when all slots are in use", func() {
 		fleet := newFleet(clock, 1, 1)
 		for _, e := range fleet.engines {
--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -65,13 +65,16 @@
 	ChainTokens []int
 	// Exclude lists the ids of targets that must not be chosen.
 	Exclude []string
+	// MaxCallWait is the longest time for which the request may wait for a call to a
+	// target that limits them.
+	MaxCallWait time.Duration
 }
 
 // Choice is the result of Choose.
 type Choice struct {
 	// Target is nil if no target can serve the request now.
 	Target *target.Target
-	// Expected is the estimated time until the first event or the answer.
+	// Expected is the estimated time from the call until the first event or the answer.
 	Expected time.Duration
 	// Cached is the estimated number of prompt tokens in the target's cache.
 	Cached int
@@ -83,9 +86,19 @@
 	// those that hold at least its model, InPool those of the pool that accept
 	// work. WithModel is 0 for a plain service.
 	Candidates, WithModel, InPool int
-	// Returns is the earliest time at which a target that wants no request now takes
-	// requests again; zero if there is no such target.
+	// Returns is the earliest time at which a target that wants no request now, or whose
+	// limit allows none, takes requests again; zero if there is no such target.
 	Returns time.Time
+	// Limit is the limit of Target, CallWait the time until it may allow the request.
+	Limit    target.Limit
+	CallWait time.Duration
+}
+
+// excludeUntil records that a target takes no request before a time.
+func (c *Choice) excludeUntil(t time.Time) {
+	if c.Returns.IsZero() || t.Before(c.Returns) {
+		c.Returns = t
+	}
 }
 
 // View is this VM's view of the targets. Its methods are safe for concurrent
@@ -103,8 +116,9 @@
 	herding  herding
 	// paces are by pool.
 	paces map[string]*pace
-	// marks are by target.
-	marks map[string]*mark
+	// marks are by target; limitVersion is the number of changes of limits in them.
+	marks        map[string]*mark
+	limitVersion int64
 }
 
 // New returns an empty view for a VM in a data centre.
@@ -332,20 +346,24 @@
 	spread := time.Duration(pace * float64(v.herding.spread(r.PromptTokens, len(eligible), now)))
 	for _, s := range eligible {
 		if until := v.distantUntil(s); now.Before(until) {
-			if c.Returns.IsZero() || until.Before(c.Returns) {
-				c.Returns = until
-			}
+			c.excludeUntil(until)
 			continue
 		}
 		if slices.Contains(r.Exclude, s.target.ID) || now.Before(s.backoffUntil) {
 			continue
 		}
+		limit, wait := v.callWait(s, now)
+		if wait > r.MaxCallWait {
+			c.excludeUntil(now.Add(wait - r.MaxCallWait))
+			continue
+		}
 		total := s.total()
 		c.Candidates++
 		expected, cached := v.expected(s, &total, r, pace, s.target.ID == preferredID, now)
-		cost := expected + time.Duration(s.failureRate(now)*float64(failureCost)) + disperse(spread)
+		cost := wait + expected + time.Duration(s.failureRate(now)*float64(failureCost)) + disperse(spread)
 		if c.Target == nil || cost < best {
-			c.Target, c.Expected, c.Cached, c.Probe, best = s.target, expected, cached, total.requests.total() == 0, cost
+			c.Target, c.Limit, c.CallWait, c.Expected, c.Cached = s.target, limit, wait, expected, cached
+			c.Probe, best = total.requests.total() == 0, cost
 		}
 	}
 	c.Probe = c.Probe && v.herding.mayProbe()
--- /dev/null
+++ b/internal/serving/fleetview/limits.go
@@ -0,0 +1,119 @@
+package fleetview
+
+import (
+	"time"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
+
+// ownLimitTTL is how long what a target has told this VM of its limit goes before what
+// other VMs pass on, whose age is less certain.
+const ownLimitTTL = time.Second
+
+// limitMark is what the answers of a target say of its limit.
+type limitMark struct {
+	limit target.Limit
+	// at is the time of the latest answer, to this VM or another, ownAt that of the
+	// latest one to this VM.
+	at, ownAt time.Time
+	// version is the number of the last change, for peers.
+	version int64
+	// nextCall is the earliest time at which the lender may allow a call, as far as this
+	// VM knows.
+	nextCall time.Time
+}
+
+// SetLimit records what an answer of an incarnation of a target says of its limit; sent is
+// when the call was sent. An answer without a limit ends one only if its call was sent
+// after the limit was learned: the answer may be older. It reports whether the limit has
+// changed.
+func (v *View) SetLimit(id string, born int64, l target.Limit, sent, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if known := v.marks[id]; !l.Named && (known == nil || known.limit.version == 0) {
+		return false
+	}
+	m := v.markOf(id, born, now)
+	if m == nil || (!l.Named && !sent.After(m.limit.at)) {
+		return false
+	}
+	m.limit.ownAt = now
+	return v.updateLimit(&m.limit, l, now)
+}
+
+// MergeLimits records the limits that a peer has passed on.
+func (v *View) MergeLimits(limits []*meshpb.Limit, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, w := range limits {
+		m := v.markOf(w.GetTarget(), w.GetBorn(), now)
+		if m == nil {
+			continue
+		}
+		at := now.Add(-time.Duration(max(0, w.GetAgeMs())) * time.Millisecond)
+		if at.After(m.limit.at) && now.Sub(m.limit.ownAt) > ownLimitTTL {
+			v.updateLimit(&m.limit, target.Limit{Named: w.GetNamed(), PerSecond: w.GetPerSecond()}, at)
+		}
+	}
+}
+
+// updateLimit sets a limit and reports whether it has changed. The caller holds v.mu.
+func (v *View) updateLimit(m *limitMark, l target.Limit, at time.Time) bool {
+	m.at = at
+	if m.limit == l {
+		return false
+	}
+	m.limit = l
+	v.limitVersion++
+	m.version = v.limitVersion
+	return true
+}
+
+// LimitsAfter returns the limits that have changed after a version, and the newest version.
+func (v *View) LimitsAfter(seen int64, now time.Time) (limits []*meshpb.Limit, upto int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.limitVersion <= seen {
+		return nil, v.limitVersion
+	}
+	for id, m := range v.marks {
+		if m.limit.version > seen {
+			limits = append(limits, &meshpb.Limit{
+				Target: id, Born: m.born, Named: m.limit.limit.Named, PerSecond: m.limit.limit.PerSecond,
+				AgeMs: now.Sub(m.limit.at).Milliseconds(),
+			})
+		}
+	}
+	return limits, v.limitVersion
+}
+
+// Limit returns the limit of an incarnation of a target; the zero Limit if none is known.
+func (v *View) Limit(id string, born int64) target.Limit {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m := v.marks[id]; m != nil && m.born == born {
+		return m.limit.limit
+	}
+	return target.Limit{}
+}
+
+// SetNextCall records the earliest time at which the lender of a limited target may allow
+// a call.
+func (v *View) SetNextCall(id string, born int64, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m := v.marks[id]; m != nil && m.born == born {
+		m.limit.nextCall = at
+	}
+}
+
+// callWait returns the limit of a target and the time until a call to it may be allowed.
+// The caller holds v.mu.
+func (v *View) callWait(s *state, now time.Time) (target.Limit, time.Duration) {
+	m := v.marks[s.target.ID]
+	if m == nil || m.born != s.target.Born || !m.limit.limit.Named {
+		return target.Limit{}, 0
+	}
+	return m.limit.limit, max(0, m.limit.nextCall.Sub(now))
+}
--- a/internal/serving/fleetview/marks.go
+++ b/internal/serving/fleetview/marks.go
@@ -1,10 +1,6 @@
 package fleetview
 
-import (
-	"time"
-
-	"fireflypier.example/fireflypier/internal/serving/target"
-)
+import "time"
 
 const (
 	// maxDistance is the longest time for which a target may keep this VM's requests away.
@@ -21,11 +17,8 @@
 	leaving bool
 	// distantUntil is the end of the time for which the target wants no request.
 	distantUntil time.Time
-	// limit is what the target's latest answer says of its limit, limitAt when this VM
-	// learned it.
-	limit   target.Limit
-	limitAt time.Time
-	at      time.Time
+	limit        limitMark
+	at           time.Time
 }
 
 // SetLeaving records that an incarnation of a target has said that it leaves. It gets no
@@ -57,25 +50,6 @@
 	return m.distantUntil
 }
 
-// SetLimit records what an answer of an incarnation of a target says of its limit; sent is
-// when the call was sent. An answer without a limit ends one only if its call was sent
-// after the limit was learned: the answer may be older. It reports whether the limit has
-// changed.
-func (v *View) SetLimit(id string, born int64, l target.Limit, sent, now time.Time) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if known := v.marks[id]; !l.Named && (known == nil || !known.limit.Named) {
-		return false
-	}
-	m := v.markOf(id, born, now)
-	if m == nil || (!l.Named && !sent.After(m.limitAt)) {
-		return false
-	}
-	changed := m.limit != l
-	m.limit, m.limitAt = l, now
-	return changed
-}
-
 // markOf returns the mark of an incarnation, which it creates if there is none, and nil if
 // a later incarnation is known. The caller holds v.mu.
 func (v *View) markOf(id string, born int64, now time.Time) *mark {
@@ -99,6 +73,14 @@
 	return m
 }
 
+// Accepts reports whether an incarnation of a target takes requests, apart from its limit.
+func (v *View) Accepts(id string, born int64, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.targets[id]
+	return s != nil && s.target.Born == born && !s.target.Draining && !v.leaving(s) && !now.Before(v.distantUntil(s))
+}
+
 // leaving reports whether the target has said that it leaves. The caller holds v.mu.
 func (v *View) leaving(s *state) bool {
 	m := v.marks[s.target.ID]
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -118,11 +118,15 @@
 	for {
 		changed := f.View.Changed()
 		now := f.Clock.Now()
+		j.want.MaxCallWait = j.callWait(now)
 		c := f.View.Choose(&j.want, now)
 		if c.Target != nil {
 			if d := j.admit(&c, now); !d.Admit {
 				return c, j.reject(now, &c, d.RetryAfter)
 			}
+			if c.Limit.Named && !j.reserve(ctx, &c) {
+				continue
+			}
 			if !j.missingSince.IsZero() {
 				f.Metrics.waits.Observe(now.Sub(j.missingSince).Seconds())
 			}
@@ -134,6 +138,9 @@
 			continue
 		}
 		if c.Candidates == 0 && !c.Returns.IsZero() {
+			if j.sends == 0 && j.pool.Engine != nil {
+				f.Placer.RecordDemand(j.pool.Name, j.r.Model, j.r.Adapter, j.r.Tokens(), true)
+			}
 			return c, j.refuse(now, &c, spread(c.Returns.Sub(now)))
 		}
 		if j.pool.Engine == nil || j.sends > 0 {
@@ -172,7 +179,7 @@
 	if j.pool.Engine == nil || j.runs > 0 || c.Probe {
 		return admission.Decision{Admit: true}
 	}
-	return admission.Decide(c.Expected, j.r.Arrival.Add(j.patience()).Sub(now))
+	return admission.Decide(c.CallWait+c.Expected, j.r.Arrival.Add(j.patience()).Sub(now))
 }
 
 // reject refuses a request that its target could not answer in time.
--- a/internal/serving/forward/fakes_test.go
+++ b/internal/serving/forward/fakes_test.go
@@ -12,6 +12,7 @@
 
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/fleetview"
+	"fireflypier.example/fireflypier/internal/serving/target"
 )
 
 // reply is the scripted reaction of a target to one request.
@@ -23,6 +24,7 @@
 	misdirected bool
 	leaving     bool
 	distance    time.Duration
+	limit       target.Limit
 	err         error
 	hang        bool
 	// endless is repeated after body without end.
@@ -74,7 +76,7 @@
 	return &exchange.Answer{
 		Status: r.status, Header: http.Header{"X-Target": {a.Target.ID}}, Body: io.NopCloser(body),
 		NotRun: r.notRun || r.misdirected, Misdirected: r.misdirected, Signed: !r.notRun && !r.misdirected,
-		Leaving: r.leaving, Distance: r.distance,
+		Leaving: r.leaving, Distance: r.distance, Limit: r.limit,
 	}, nil
 }
 
--- a/internal/serving/forward/fixture_test.go
+++ b/internal/serving/forward/fixture_test.go
@@ -32,6 +32,8 @@
 	f      *forward.Forwarder
 	// lender charges requests; it cannot be reached while it is nil.
 	lender func(customer string, cost float64) (bool, time.Duration)
+	// reserve reserves calls to targets with limits.
+	reserve func(t *target.Target, l target.Limit, maxWait time.Duration) (time.Duration, bool, error)
 }
 
 func newFixture() *fixture {
@@ -76,6 +78,9 @@
 			ok, after := x.lender(customer, cost)
 			return ok, after, nil
 		},
+		Reserve: func(_ context.Context, t *target.Target, l target.Limit, maxWait time.Duration) (time.Duration, bool, error) {
+			return x.reserve(t, l, maxWait)
+		},
 		Quarantine: quarantine.New(func() bool { return false }, hclog.NewNullLogger()),
 		Retries:    retrybudget.New(retrybudget.Bound{Ratio: 0.2, Window: time.Second, Slack: 100}),
 		VMs:        func() int { return 1 },
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -23,6 +23,7 @@
 	"fireflypier.example/fireflypier/internal/serving/quarantine"
 	"fireflypier.example/fireflypier/internal/serving/ratelimit"
 	"fireflypier.example/fireflypier/internal/serving/retrybudget"
+	"fireflypier.example/fireflypier/internal/serving/target"
 )
 
 // Placer records the demand for weights and has engines load them.
@@ -51,6 +52,9 @@
 	// own share of a customer's rate does not cover at the customer's lender.
 	Rates  *ratelimit.Limiter
 	Borrow func(ctx context.Context, customer string, cost float64) (ok bool, after time.Duration, err error)
+	// Reserve reserves a call to a target with a limit within maxWait. It returns the time
+	// until the call, or, if reserved is false, until one could be made.
+	Reserve func(ctx context.Context, t *target.Target, l target.Limit, maxWait time.Duration) (wait time.Duration, reserved bool, err error)
 	// Quarantine keeps requests on which engines crash away from them.
 	Quarantine *quarantine.Quarantine
 	// Retries limits retries; VMs returns the number of VMs that share its bound.
@@ -186,7 +190,9 @@
 	cost     float64
 
 	// sends counts attempts; runs counts those that may have run the request.
-	sends, runs      int
+	sends, runs int
+	// reservations counts the lenders that were asked for calls to targets with limits.
+	reservations     int
 	adapterRequested bool
 	// tried holds the IDs of the targets to which the request was sent.
 	tried []string
--- a/internal/serving/forward/metrics.go
+++ b/internal/serving/forward/metrics.go
@@ -15,6 +15,7 @@
 	charges  *prometheus.CounterVec
 	rejected *prometheus.CounterVec
 	marks    *prometheus.CounterVec
+	reserved *prometheus.CounterVec
 	waits    prometheus.Histogram
 }
 
@@ -50,13 +51,17 @@
 			Name: "fireflypier_serving_target_marks_total",
 			Help: "Answers in which a target said that it leaves, wants no requests for a while or has another limit.",
 		}, []string{"mark"}),
+		reserved: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflypier_serving_reservations_total",
+			Help: "Reservations of calls to targets with limits, by result.",
+		}, []string{"result"}),
 		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "fireflypier_serving_weights_wait_seconds",
 			Help:    "Time for which requests waited for weights before they were sent.",
 			Buckets: latencyBuckets,
 		}),
 	}
-	registry.MustRegister(m.requests, m.duration, m.sends, m.charges, m.rejected, m.marks, m.waits)
+	registry.MustRegister(m.requests, m.duration, m.sends, m.charges, m.rejected, m.marks, m.reserved, m.waits)
 	return m
 }
 
@@ -67,7 +72,7 @@
 
 func (m *Metrics) countSend(outcome string) { m.sends.WithLabelValues(outcome).Inc() }
 
-// The results of charges, the reasons of rejections and the marks of targets, as metric labels.
+// The results of charges and reservations, the reasons of rejections and the marks of targets, as metric labels.
 const (
 	chargeOwn          = "own_share"
 	chargeLent         = "lent"
@@ -80,6 +85,9 @@
 	rejectNotAvailable = "targets_unavailable"
 	rejectBusy         = "targets_busy"
 	rejectQuarantined  = "prompt_quarantined"
+	reservedCall       = "reserved"
+	reservedNone       = "refused"
+	reservedNoLender   = "lender_unreachable"
 	markLeaving        = "leaving"
 	markDistance       = "distance"
 	markLimit          = "limit"
@@ -89,4 +97,15 @@
 
 func (m *Metrics) countMark(mark string) { m.marks.WithLabelValues(mark).Inc() }
 
+func (m *Metrics) countReservation(reserved bool, err error) {
+	result := reservedNone
+	switch {
+	case err != nil:
+		result = reservedNoLender
+	case reserved:
+		result = reservedCall
+	}
+	m.reserved.WithLabelValues(result).Inc()
+}
+
 func (m *Metrics) countRejection(reason string) { m.rejected.WithLabelValues(reason).Inc() }
--- a/internal/serving/mesh/mesh.go
+++ b/internal/serving/mesh/mesh.go
@@ -57,6 +57,8 @@
 	Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error)
 	// Borrow charges a request to a customer's rate on behalf of a peer.
 	Borrow(r *meshpb.BorrowRequest) *meshpb.BorrowReply
+	// Reserve reserves a call to a target with a limit on behalf of a peer.
+	Reserve(r *meshpb.ReserveRequest) *meshpb.ReserveReply
 }
 
 // Mesh exchanges digests with other VMs. Its methods are safe for
@@ -368,6 +370,12 @@
 	return reply, errors.Wrap(err, "charge a request at a peer")
 }
 
+// Reserve has a peer reserve a call to a target with a limit.
+func (m *Mesh) Reserve(ctx context.Context, addr netip.AddrPort, r *meshpb.ReserveRequest) (*meshpb.ReserveReply, error) {
+	reply, err := m.client(ctx, addr).Reserve(ctx, r)
+	return reply, errors.Wrap(err, "reserve a call at a peer")
+}
+
 // Need requests an engine with an adapter from the leader, the VM that sends
 // orders to engines.
 func (m *Mesh) Need(ctx context.Context, leader netip.AddrPort, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
@@ -414,6 +422,11 @@
 	return s.m.delegate.Borrow(r), nil
 }
 
+// Reserve implements meshpb.DRPCMeshServer.
+func (s service) Reserve(_ context.Context, r *meshpb.ReserveRequest) (*meshpb.ReserveReply, error) {
+	return s.m.delegate.Reserve(r), nil
+}
+
 // Need implements meshpb.DRPCMeshServer.
 func (s service) Need(ctx context.Context, r *meshpb.NeedRequest) (*meshpb.NeedReply, error) {
 	return s.m.delegate.Need(ctx, r)
--- a/internal/serving/mesh/mesh_test.go
+++ b/internal/serving/mesh/mesh_test.go
@@ -59,6 +59,10 @@
 	return v.table, true
 }
 
+func (v *vm) Reserve(r *meshpb.ReserveRequest) *meshpb.ReserveReply {
+	return &meshpb.ReserveReply{Reserved: true, WaitMs: r.GetMaxWaitMs()}
+}
+
 func (v *vm) Borrow(r *meshpb.BorrowRequest) *meshpb.BorrowReply {
 	return &meshpb.BorrowReply{Granted: r.GetCost() < 10}
 }
@@ -177,6 +181,10 @@
 		loan, err := a.mesh.Borrow(context.Background(), b.addr, &meshpb.BorrowRequest{Cost: 9})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(loan.GetGranted()).To(BeTrue())
+		call, err := a.mesh.Reserve(context.Background(), b.addr, &meshpb.ReserveRequest{Target: "t", MaxWaitMs: 7})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(call.GetReserved()).To(BeTrue())
+		Expect(call.GetWaitMs()).To(Equal(int64(7)))
 		reply, err := a.mesh.Need(context.Background(), b.addr, &meshpb.NeedRequest{Model: "m"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.GetTarget()).To(Equal("m"))
--- a/internal/serving/node/delegate.go
+++ b/internal/serving/node/delegate.go
@@ -23,6 +23,7 @@
 	d.WantsWeights = n.wantsWeights()
 	seen := n.seenBy(p)
 	d.Sends, d.SendsUpto = n.view.SendsAfter(seen.sends, relation == meshpb.Relation_RELATION_TOTALS)
+	d.Limits, d.LimitsUpto = n.view.LimitsAfter(seen.limits, n.clock.Now())
 	d.Suspects = n.quarantine.News(n.clock.Now())
 	n.fleet.fill(d, p.Address, relation, seen.wantsWeights || relation == meshpb.Relation_RELATION_REPORT, n.clock.Now())
 	n.mu.Lock()
@@ -36,7 +37,7 @@
 		}
 	}
 	if s := n.received[p.Address]; s.incarnation == p.Incarnation {
-		d.SendsSeen, d.InventorySeen = s.sends, s.inventory
+		d.SendsSeen, d.InventorySeen, d.LimitsSeen = s.sends, s.inventory, s.limits
 	}
 	return d
 }
@@ -70,19 +71,19 @@
 }
 
 // received records what this VM has received from a peer: the peer's incarnation, the
-// highest versions of its sends and its inventory, and what the peer has received
+// highest versions of its sends, its inventory and its limits, and what the peer has received
 // and wants.
 type received struct {
-	incarnation      int64
-	sends, inventory int64
-	peer             seen
+	incarnation              int64
+	sends, inventory, limits int64
+	peer                     seen
 }
 
-// seen is what a peer has received of this VM's sends and inventory, and whether it
+// seen is what a peer has received of this VM's sends, inventory and limits, and whether it
 // needs the demand for weights.
 type seen struct {
-	sends, inventory int64
-	wantsWeights     bool
+	sends, inventory, limits int64
+	wantsWeights             bool
 }
 
 func (n *Node) seenBy(p *mesh.Peer) seen {
@@ -118,6 +119,7 @@
 		n.Logger.Warn("totals cannot be read", "peer", p.Address, "error", err)
 	}
 	n.quarantine.Merge(d.GetSuspects(), now)
+	n.view.MergeLimits(d.GetLimits(), now)
 	n.applyOthers(now)
 	n.mu.Lock()
 	s := n.received[p.Address]
@@ -125,7 +127,8 @@
 		s = received{incarnation: p.Incarnation}
 	}
 	s.sends, s.inventory = max(s.sends, d.GetSendsUpto()), max(s.inventory, d.GetInventoryUpto())
-	s.peer = seen{sends: d.GetSendsSeen(), inventory: d.GetInventorySeen(), wantsWeights: d.GetWantsWeights()}
+	s.limits = max(s.limits, d.GetLimitsUpto())
+	s.peer = seen{sends: d.GetSendsSeen(), inventory: d.GetInventorySeen(), limits: d.GetLimitsSeen(), wantsWeights: d.GetWantsWeights()}
 	n.received[p.Address] = s
 	var changed []*meshpb.Inventory
 	for _, entry := range d.GetInventory() {
@@ -178,6 +181,12 @@
 	return &meshpb.NeedReply{Target: m.n.engineControl.LoadAdapter(ctx, r.GetPool(), r.GetModel(), r.GetAdapter())}, nil
 }
 
+// Reserve implements mesh.Delegate.
+func (m meshDelegate) Reserve(r *meshpb.ReserveRequest) *meshpb.ReserveReply {
+	wait, reserved := m.n.lendCall(r)
+	return &meshpb.ReserveReply{Reserved: reserved, WaitMs: wait.Milliseconds()}
+}
+
 // Borrow implements mesh.Delegate.
 func (m meshDelegate) Borrow(r *meshpb.BorrowRequest) *meshpb.BorrowReply {
 	ok, after := m.n.forward.Lend(r.GetCustomer(), r.GetCost())
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -38,6 +38,7 @@
 	"fireflypier.example/fireflypier/internal/serving/storerelay"
 	"fireflypier.example/fireflypier/internal/serving/tablefeed"
 	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/serving/targetlimit"
 	"fireflypier.example/fireflypier/internal/serving/weightsdemand"
 )
 
@@ -101,6 +102,7 @@
 	directory     *directory.Directory
 	engineControl *enginecontrol.Controller
 	forward       *forward.Forwarder
+	limiter       *targetlimit.Limiter
 
 	quarantine *quarantine.Quarantine
 
@@ -130,6 +132,7 @@
 		startedAt:   time.Now(),
 		registry:    prometheus.NewRegistry(),
 		directory:   directory.New(config.Settings.Front),
+		limiter:     targetlimit.New(),
 		view:        fleetview.New(config.Settings.DataCentre),
 		demand:      weightsdemand.New(),
 		inventory:   make(map[string]inventoryEntry),
@@ -170,6 +173,9 @@
 		Demand:   n.totalDemand,
 		Requests: n.view.Requests,
 		Held:     n.setInventory,
+		Limit:    func(t *target.Target) target.Limit { return n.view.Limit(t.ID, t.Born) },
+		SetLimit: n.setEngineLimit,
+		Permit:   n.permitCall,
 		LoadBound: func() (time.Duration, float64) {
 			b := n.bounds.Load()
 			return b.LoadWindow, b.LoadOverage
@@ -186,6 +192,7 @@
 		Placer:     placer{n},
 		Rates:      ratelimit.New(tolerance(&s.Bounds), n.clock.Now()),
 		Borrow:     n.borrow,
+		Reserve:    n.reserve,
 		Retries:    retrybudget.New(retryBound(&s.Bounds)),
 		VMs:        func() int { return 1 + n.mesh.Size() },
 		Metrics:    forward.NewMetrics(n.registry),
--- /dev/null
+++ b/internal/serving/node/reserve.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"fireflypier.example/fireflypier/internal/rendezvous"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/serving/targetlimit"
+)
+
+const (
+	// substituteShare is the share of a target's limit that a VM reserves while the
+	// target's own lender is live: some VMs may still reach that one.
+	substituteShare = 0.25
+	// controlWait is the longest time for which a report or an order waits until the
+	// limit of its target allows it.
+	controlWait = 400 * time.Millisecond
+)
+
+// lenders returns the VMs that reserve calls to a target, in the order in which they are
+// asked: the hubs, the same for all VMs. A VM that leaves is not one of them.
+func (n *Node) lenders(targetID string) []netip.AddrPort {
+	hubs := n.mesh.Hubs()
+	names := make([]string, 0, len(hubs))
+	byName := make(map[string]netip.AddrPort, len(hubs))
+	for _, h := range hubs {
+		if h == n.Settings.Peer && n.leaving.Load() && len(hubs) > 1 {
+			continue
+		}
+		names = append(names, h.String())
+		byName[h.String()] = h
+	}
+	var order []netip.AddrPort
+	for _, name := range rendezvous.Order(targetID, names) {
+		order = append(order, byName[name])
+	}
+	return order
+}
+
+// reserve implements forward.Config.Reserve: it reserves a call at the target's lender, or
+// at the next one if that does not answer.
+func (n *Node) reserve(ctx context.Context, t *target.Target, l target.Limit, maxWait time.Duration) (wait time.Duration, reserved bool, err error) {
+	r := &meshpb.ReserveRequest{Target: t.ID, Born: t.Born, PerSecond: l.PerSecond, MaxWaitMs: maxWait.Milliseconds()}
+	order := n.lenders(t.ID)
+	for _, lender := range order[:min(maxLenders, len(order))] {
+		if lender == n.Settings.Peer {
+			wait, reserved = n.lendCall(r)
+			return wait, reserved, nil
+		}
+		var reply *meshpb.ReserveReply
+		callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		reply, err = n.mesh.Reserve(callCtx, lender, r)
+		cancel()
+		if err == nil {
+			return time.Duration(reply.GetWaitMs()) * time.Millisecond, reply.GetReserved(), nil
+		}
+	}
+	return 0, false, err
+}
+
+// lendCall reserves a call to a target for any VM.
+func (n *Node) lendCall(r *meshpb.ReserveRequest) (wait time.Duration, reserved bool) {
+	return n.limiter.Reserve(&targetlimit.Call{
+		Target:  r.GetTarget(),
+		Born:    r.GetBorn(),
+		Limit:   target.Limit{Named: true, PerSecond: r.GetPerSecond()},
+		Share:   n.lenderShare(r.GetTarget()),
+		MaxWait: time.Duration(r.GetMaxWaitMs()) * time.Millisecond,
+	}, n.clock.Now())
+}
+
+// lenderShare returns the share of a target's limit that this VM may reserve. Where a
+// part of the VMs is cut off from the others, both parts may have a lender: the smaller
+// one gets a share in proportion to its VMs.
+func (n *Node) lenderShare(targetID string) float64 {
+	live, silent := n.mesh.Count()
+	reachable := float64(1+live) / float64(1+live+silent)
+	if reachable > 0.5 {
+		reachable = 1
+	}
+	if order := n.lenders(targetID); !slices.Contains(order[:min(1, len(order))], n.Settings.Peer) {
+		return reachable * substituteShare
+	}
+	return reachable
+}
+
+// setEngineLimit implements enginecontrol.Config.SetLimit.
+func (n *Node) setEngineLimit(t *target.Target, l target.Limit) {
+	now := n.clock.Now()
+	if n.view.SetLimit(t.ID, t.Born, l, now, now) {
+		n.Logger.Info("target has another limit", "target", t.ID, "born", t.Born, "named", l.Named, "per_second", l.PerSecond, "source", "report")
+	}
+}
+
+// permitCall implements enginecontrol.Config.Permit: it waits until the limit of an
+// engine, if it has one, allows a report or an order.
+func (n *Node) permitCall(ctx context.Context, t *target.Target) bool {
+	l := n.view.Limit(t.ID, t.Born)
+	if !l.Named {
+		return true
+	}
+	wait, reserved, err := n.reserve(ctx, t, l, controlWait)
+	if err != nil {
+		n.Logger.Info("call to an engine with a limit not reserved", "engine", t.ID, "error", err)
+	}
+	if !reserved {
+		return false
+	}
+	select {
+	case <-n.clock.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
