Let reports and orders wait for their call without holding the engine's state (LIMIT)

Callers were refused although engines had room: a report or order to an engine with a limit waited up to 400 ms for its call while it held the lock of the engine's state. The plan leaves out engines that are locked, took their models for missing, and unloaded models in demand to make room for these. Where requests used the whole limit, reports came never: requests wait up to 600 ms for a call, and so were always ahead.

A call is now reserved first, up to 2 s ahead, and made once its time has come; only the load of an adapter, for which a request waits, still waits for it, up to 300 ms. Engines without a limit are preferred for adapters.

--- a/internal/serving/enginecontrol/adapter.go
+++ b/internal/serving/enginecontrol/adapter.go
@@ -14,6 +14,10 @@
 // the adapter counts as held; adapters load in 5 to 10 ms.
 const adapterLoadTime = 10 * time.Millisecond
 
+// maxAdapterWait is the longest time for which an adapter load waits until the limit of
+// its engine allows the order: requests wait for it.
+const maxAdapterWait = 300 * time.Millisecond
+
 // LoadAdapter returns the ID of an engine that holds the adapter. If none does,
 // it orders one engine to load it. It returns an empty string if this VM is not
 // the leader, if the pool has no engines, or if no engine can hold the adapter now.
@@ -45,6 +49,7 @@
 			"engine", e.target.ID, "adapters", len(e.adapters()), "report_age_ms", c.Clock.Since(e.reportRequested).Milliseconds())
 		return ""
 	}
+	c.awaitPermit(ctx, e)
 	switch c.order(ctx, term, e, target.Order{Operation: target.Load, Model: model, Adapter: adapter}) {
 	case target.Accepted, target.Holds:
 		e.recentlyLoaded[key] = c.Clock.Now()
@@ -62,6 +67,23 @@
 	return ""
 }
 
+// awaitPermit waits until the engine's limit allows a call, if that is soon.
+func (c *Controller) awaitPermit(ctx context.Context, e *engine) {
+	if !c.Limit(e.target).Named {
+		return
+	}
+	if !e.reserved {
+		wait, ok := c.Permit(ctx, e.target)
+		e.reserved, e.permit = ok, c.Clock.Now().Add(wait)
+	}
+	if wait := e.permit.Sub(c.Clock.Now()); e.reserved && wait <= maxAdapterWait {
+		select {
+		case <-c.Clock.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // chooseEngine returns the engine with the lowest adapterCost plus unfinished
 // requests; nil if no engine can take the adapter. It skips draining engines and
 // engines with an order or a report request in progress.
@@ -75,7 +97,7 @@
 		if e.target.Pool != pool.Name || e.target.Draining || !e.mu.TryLock() {
 			continue
 		}
-		cost, ok := e.adapterCost(pool.Engine, model, key, now)
+		cost, ok := e.adapterCost(pool.Engine, model, key, c.Limit(e.target).Named, now)
 		e.mu.Unlock()
 		if !ok {
 			continue
@@ -91,10 +113,11 @@
 // adapterCost returns the cost of using the engine for an adapter, in units of
 // one unfinished request; lower is better. ok is false if the engine cannot take
 // the adapter.
-func (e *engine) adapterCost(spec *policy.Engine, model, key string, now time.Time) (cost float64, ok bool) {
+func (e *engine) adapterCost(spec *policy.Engine, model, key string, limited bool, now time.Time) (cost float64, ok bool) {
 	// evictionCost is added if another adapter must be unloaded first, perAdapter
 	// for each adapter that the engine holds. Both count unfinished requests.
-	const evictionCost, perAdapter = 12.0, 1.0
+	// limitedCost is added for an engine that takes only few calls a second.
+	const evictionCost, perAdapter, limitedCost = 12.0, 1.0, 20.0
 	if !e.ready(now) || (e.unloading != nil && e.unloading.model == model) {
 		return 0, false
 	}
@@ -112,6 +135,9 @@
 	if e.freeSlots(spec) <= 0 {
 		cost += evictionCost
 	}
+	if limited {
+		cost += limitedCost
+	}
 	return cost, true
 }
 
--- a/internal/serving/enginecontrol/engine.go
+++ b/internal/serving/enginecontrol/engine.go
@@ -73,6 +73,10 @@
 	heldSince map[string]time.Time
 	// blockedUntil is the time before which no order is sent.
 	blockedUntil time.Time
+	// permit is the time before which the engine's limit allows no call; reserved is set
+	// if one call is reserved for that time.
+	permit   time.Time
+	reserved bool
 }
 
 func newEngine(t *target.Target) *engine {
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -78,11 +78,11 @@
 	// the rate.
 	LoadBound func() (window time.Duration, overage float64)
 	// Limit returns the limit of an engine, SetLimit records the one that an engine names
-	// in a report. Permit is called before each report and order: it waits until the
-	// limit allows the call, and reports whether that was soon enough.
+	// in a report. Permit reserves one report or order to an engine with a limit, and
+	// returns the time until it may be sent; it may fail.
 	Limit    func(t *target.Target) target.Limit
 	SetLimit func(t *target.Target, l target.Limit)
-	Permit   func(ctx context.Context, t *target.Target) bool
+	Permit   func(ctx context.Context, t *target.Target) (wait time.Duration, ok bool)
 	Clock    clockwork.Clock
 	Logger   hclog.Logger
 }
@@ -272,8 +272,7 @@
 
 // fetchReport fetches a report and publishes what the engine holds.
 func (c *Controller) fetchReport(ctx context.Context, e *engine) {
-	if !c.Permit(ctx, e.target) {
-		e.reportRequested = c.Clock.Now()
+	if !c.permitted(ctx, e) {
 		return
 	}
 	reportRequested := c.Clock.Now()
@@ -295,13 +294,41 @@
 	c.publish(e)
 }
 
+// permitted reports whether a call may be made to the engine now. If its limit does not
+// allow that yet, it sets the time from which on to ask again.
+func (c *Controller) permitted(ctx context.Context, e *engine) bool {
+	if !c.Limit(e.target).Named {
+		e.permit, e.reserved = time.Time{}, false
+		return true
+	}
+	now := c.Clock.Now()
+	if now.Before(e.permit) {
+		return false
+	}
+	if !e.reserved {
+		wait, ok := c.Permit(ctx, e.target)
+		e.reserved = ok
+		if !ok {
+			wait = max(wait, refusedBackoff)
+		}
+		if e.permit = now.Add(wait); !ok || wait > 0 {
+			return false
+		}
+	}
+	e.reserved = false
+	return true
+}
+
 // order sends one order if the term is still valid. It completes o with the
 // sender and the expected number of accepted orders, and blocks further orders
 // for a while after a failure.
 func (c *Controller) order(ctx context.Context, term *election.Term, e *engine, o target.Order) target.Outcome {
 	o.Expected, o.Holder, o.Fence = e.acceptedOrders, c.Name, term.Fence
-	if !c.Permit(ctx, e.target) || !term.Valid() {
-		e.blockedUntil = c.Clock.Now().Add(refusedBackoff)
+	if !term.Valid() {
+		return target.NotSent
+	}
+	if !c.permitted(ctx, e) {
+		e.blockedUntil = e.permit
 		return target.NotSent
 	}
 	outcome, err := c.Engines.Order(ctx, e.target, &o)
--- a/internal/serving/node/reserve.go
+++ b/internal/serving/node/reserve.go
@@ -17,8 +17,9 @@
 	// target's own lender is live: some VMs may still reach that one.
 	substituteShare = 0.25
 	// controlWait is the longest time for which a report or an order waits until the
-	// limit of its target allows it.
-	controlWait = 400 * time.Millisecond
+	// limit of its target allows it. It is longer than that of requests, so that a
+	// target in demand still gets them.
+	controlWait = 2 * time.Second
 )
 
 // lenders returns the VMs that reserve calls to a target, in the order in which they are
@@ -96,24 +97,11 @@
 	}
 }
 
-// permitCall implements enginecontrol.Config.Permit: it waits until the limit of an
-// engine, if it has one, allows a report or an order.
-func (n *Node) permitCall(ctx context.Context, t *target.Target) bool {
-	l := n.view.Limit(t.ID, t.Born)
-	if !l.Named {
-		return true
-	}
-	wait, reserved, err := n.reserve(ctx, t, l, controlWait)
+// permitCall implements enginecontrol.Config.Permit.
+func (n *Node) permitCall(ctx context.Context, t *target.Target) (wait time.Duration, ok bool) {
+	wait, ok, err := n.reserve(ctx, t, n.view.Limit(t.ID, t.Born), controlWait)
 	if err != nil {
 		n.Logger.Info("call to an engine with a limit not reserved", "engine", t.ID, "error", err)
 	}
-	if !reserved {
-		return false
-	}
-	select {
-	case <-n.clock.After(wait):
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait, ok
 }
