Move models in demand to engines without limits (LIMIT)

Callers of popular models were refused while engines without a limit idled: the placement counted a replica on an engine that takes two requests a second like any other, and even unloaded popular models from the free engines.

Replicas on engines with limits now keep a model reachable, and only the others count against its demand; with limits on no engine or on all, nothing changes. Two of the specs of limited_test.go fail without this.

--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -448,6 +448,7 @@
 		InMemory: toSet(e.report.Weights.InMemory),
 		OnDisk:   toSet(e.report.Weights.OnDisk),
 		Requests: c.Requests(e.target.ID),
+		Limited:  c.Limit(e.target).Named,
 	}
 	for i := range e.report.Weights.Models {
 		m := e.report.Weights.Models[i].Model
--- a/internal/serving/modelplacement/modelplacement.go
+++ b/internal/serving/modelplacement/modelplacement.go
@@ -6,12 +6,14 @@
 // each, the one with the most unmet demand first; the remaining memory goes to
 // further replicas by demand, and what is then left to models without demand. If
 // more models have demand than fit, they take turns: the longer a model has had
-// its replica, the less demand is needed to replace it.
+// its replica, the less demand is needed to replace it. While some engines take only few
+// requests, the models in demand move to the others, and the rest keep a replica anywhere.
 //
 // The package does no I/O.
 package modelplacement
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -58,6 +60,9 @@
 	InMemory, OnDisk map[string]bool
 	// Requests is the number of unfinished requests.
 	Requests int
+	// Limited is set if the engine takes only few requests a second. Its replicas keep
+	// models reachable and serve little of the demand.
+	Limited bool
 }
 
 // Demand is the demand for one model.
@@ -115,10 +120,16 @@
 
 // plan is the state of one decision.
 type plan struct {
-	in       *Input
-	replicas map[string]int
-	serving  map[string]int
-	desired  map[string]int
+	in *Input
+	// replicas counts all replicas, full those on engines without a limit, and serving
+	// those that certainly serve. allLimited is set if all engines have limits; they then
+	// count as full.
+	replicas, full, serving map[string]int
+	allLimited              bool
+	// desired is the number of full replicas that models should have. reachable has the
+	// models that should have a replica on any engine.
+	desired   map[string]int
+	reachable map[string]bool
 	// demandPerSlot is the mean demand of a model slot, in tokens per second.
 	demandPerSlot float64
 	assigned      map[string]bool
@@ -128,15 +139,23 @@
 // NextActions returns the actions to start now, the most urgent first and at most
 // one for each engine.
 func NextActions(in *Input) []Action {
-	p := &plan{in: in, replicas: make(map[string]int), serving: make(map[string]int), assigned: make(map[string]bool)}
+	p := &plan{
+		in: in, replicas: make(map[string]int), full: make(map[string]int), serving: make(map[string]int),
+		reachable: make(map[string]bool), assigned: make(map[string]bool),
+	}
+	p.allLimited = !slices.ContainsFunc(in.Engines, func(e Engine) bool { return !e.Leaving && !e.Limited })
 	for i := range in.Engines {
-		if in.Engines[i].Leaving {
+		e := &in.Engines[i]
+		if e.Leaving {
 			continue
 		}
-		for m := range in.Engines[i].Models {
+		for m := range e.Models {
 			p.replicas[m]++
+			if p.isFull(e) {
+				p.full[m]++
+			}
 		}
-		for m := range in.Engines[i].Serving {
+		for m := range e.Serving {
 			p.serving[m]++
 		}
 	}
@@ -155,6 +174,9 @@
 		if a.Unload {
 			p.serving[a.Model]--
 			p.replicas[a.Model]--
+			if p.isFull(p.engine(a.Engine)) {
+				p.full[a.Model]--
+			}
 		} else {
 			loads--
 			if a.Cold {
@@ -165,9 +187,18 @@
 	return p.actions
 }
 
+// isFull reports whether the replicas of an engine count as full.
+func (p *plan) isFull(e *Engine) bool { return p.allLimited || !e.Limited }
+
+// engine returns the engine with an ID, which must exist.
+func (p *plan) engine(id string) *Engine {
+	return &p.in.Engines[slices.IndexFunc(p.in.Engines, func(e Engine) bool { return e.ID == id })]
+}
+
 // desiredReplicas allocates the model slots of all engines to the models: one to
 // each with demand, then one to each without, then further ones by demand per
-// replica. A slot has the size of the largest model.
+// replica. A slot has the size of the largest model. Slots of limited engines go to the
+// models without demand, and to those with the least.
 func (p *plan) desiredReplicas() map[string]int {
 	desired := make(map[string]int)
 	engines := 0
@@ -182,12 +213,18 @@
 			others = append(others, m.Name)
 		}
 	}
+	limited := 0
 	for i := range p.in.Engines {
-		if !p.in.Engines[i].Leaving {
+		switch e := &p.in.Engines[i]; {
+		case e.Leaving:
+		case p.isFull(e):
 			engines++
+		default:
+			limited++
 		}
 	}
-	left := engines * int(p.in.Spec.ModelMemoryMB()/largest)
+	perEngine := int(p.in.Spec.ModelMemoryMB() / largest)
+	left, leftLimited := engines*perEngine, limited*perEngine
 	for _, m := range requested {
 		p.demandPerSlot += p.in.Demand[m].rate() / float64(max(1, left))
 	}
@@ -195,11 +232,20 @@
 		return p.in.Demand[requested[i]].rate() > p.in.Demand[requested[j]].rate()
 	})
 	for _, m := range requested {
+		p.reachable[m] = true
+		if limited > 0 && left <= 0 {
+			leftLimited--
+			continue
+		}
 		desired[m] = 1
+		left--
 	}
-	left -= len(requested)
 	for _, m := range others { // a model without demand is still likely to be requested
-		if left > 0 {
+		switch {
+		case leftLimited > 0:
+			p.reachable[m] = true
+			leftLimited--
+		case left > 0:
 			desired[m] = 1
 			left--
 		}
@@ -219,6 +265,11 @@
 	return desired
 }
 
+// lacksReplica reports whether a model has too few replicas.
+func (p *plan) lacksReplica(m string) bool {
+	return p.full[m] < p.desired[m] || (p.replicas[m] == 0 && p.reachable[m])
+}
+
 // underReplicated returns the models with fewer replicas than desired: those without
 // a replica first, of these those with waiting requests first, then by demand per
 // replica.
@@ -226,7 +277,7 @@
 	var models []string
 	for i := range p.in.Spec.Models {
 		m := p.in.Spec.Models[i].Name
-		if p.replicas[m] < p.desired[m] {
+		if p.lacksReplica(m) {
 			models = append(models, m)
 		}
 	}
@@ -243,10 +294,10 @@
 	return models
 }
 
-// demandPerReplica returns a model's demand per replica, in tokens per second, if
-// the number of its replicas changed by added.
+// demandPerReplica returns a model's demand per full replica, in tokens per second, if
+// their number changed by added.
 func (p *plan) demandPerReplica(model string, added int) float64 {
-	return p.in.Demand[model].rate() / float64(max(1, p.replicas[model]+added))
+	return p.in.Demand[model].rate() / float64(max(1, p.full[model]+added))
 }
 
 // place returns the next action for one more replica of a model: a load on the engine
@@ -284,7 +335,9 @@
 // canLoad reports whether the engine may get an action for a model.
 func (p *plan) canLoad(e *Engine, model string) bool {
 	_, holds := e.Models[model]
-	return !e.Leaving && e.Idle && !p.assigned[e.ID] && !holds
+	// A model with a replica on a limited engine needs one on another kind.
+	useful := p.isFull(e) || p.replicas[model] == 0
+	return !e.Leaving && e.Idle && !p.assigned[e.ID] && !holds && useful
 }
 
 // cold reports whether a model must be loaded from the weight store.
@@ -311,14 +364,17 @@
 			continue
 		}
 		for m, since := range e.Models {
-			if !p.mayUnload(m, model, since) {
+			if !p.mayUnload(e, m, model, since) {
 				continue
 			}
 			v, ok := p.in.Spec.Model(m)
 			if ok && e.FreeMB+v.WeightsMB < spec.WeightsMB {
 				continue
 			}
-			loss := p.demandPerReplica(m, -1) + float64(e.Requests) + e.loadCost(spec)
+			loss := float64(e.Requests) + e.loadCost(spec)
+			if p.isFull(e) {
+				loss += p.demandPerReplica(m, -1)
+			}
 			if p.serving[m] <= 1 {
 				loss += lastReplicaWeight * p.demandPerSlot
 			}
@@ -333,9 +389,9 @@
 	return Action{Engine: best.ID, Model: victim, Unload: true, For: model, Reason: ReasonFreeMemory}, true
 }
 
-// mayUnload reports whether a replica of victim, held since the given time, may be
-// unloaded to free memory for model.
-func (p *plan) mayUnload(victim, model string, since time.Time) bool {
+// mayUnload reports whether a replica of victim, which the engine holds since the given
+// time, may be unloaded to free memory for model.
+func (p *plan) mayUnload(e *Engine, victim, model string, since time.Time) bool {
 	v, configured := p.in.Spec.Model(victim)
 	if !configured {
 		return true
@@ -345,7 +401,10 @@
 	if p.serving[victim] <= 1 {
 		return p.mayUnloadLast(v, model, age)
 	}
-	if p.replicas[victim] <= p.desired[victim] {
+	if !p.isFull(e) {
+		return true
+	}
+	if p.full[victim] <= p.desired[victim] {
 		return false
 	}
 	if p.replicas[model] == 0 {
