Log that the store was restored from a copy (CONFIG)

The log could not tell a restored store from one that dropped its history: both show as polls that are answered 410. No logic changes.

--- a/internal/serving/rowstore/rowstore.go
+++ b/internal/serving/rowstore/rowstore.go
@@ -48,6 +48,8 @@
 	Version int64
 	// Time is the reading of the store's monotonic clock.
 	Time time.Duration
+	// Epoch rises when the store is restored from a copy; zero if it is not known.
+	Epoch int64
 }
 
 // Write is a conditional write or deletion of a row.
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -74,6 +74,8 @@
 	version   int64
 	changedAt int64
 	read      bool
+	// epoch is that of the store's last answer.
+	epoch int64
 	// failingSince is the time since which this VM's calls fail.
 	failingSince time.Time
 	// deletedAt is the version of the newest deletion.
@@ -220,16 +222,29 @@
 		return err
 	}
 	f.callSucceeded()
+	f.recordEpoch(page)
 	f.apply(page, false, f.hold)
 	return nil
 }
 
+// recordEpoch logs that the store was restored from a copy.
+func (f *Feed) recordEpoch(page rowstore.Page) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.read && page.Epoch > f.epoch {
+		f.logger.Warn("store was restored from a copy", "table", f.name, "epoch", page.Epoch, "former_epoch", f.epoch,
+			"version", page.Version, "former_version", f.version, "changed_at", f.changedAt)
+	}
+	f.epoch = page.Epoch
+}
+
 func (f *Feed) list(ctx context.Context) error {
 	page, err := f.store.List(ctx, f.table)
 	if err != nil {
 		return err
 	}
 	f.callSucceeded()
+	f.recordEpoch(page)
 	f.apply(page, true, f.hold)
 	return nil
 }
