Order the store's versions by epoch, so that changes after a restoration count (CONFIG)

The version of a row now has the store's epoch above the number of its transaction (rowstore.VersionAt, composed in platform), so that everything that orders by version is right again: feeds, peers' copies, digests, deletions. A poll or a condition of an earlier epoch is not sent, an answer of one not believed. Rows that the copy lacks are held like those that lapse in an outage, until their owners have had time to write them again.

--- a/internal/serving/fakestore/fakestore.go
+++ b/internal/serving/fakestore/fakestore.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -45,6 +46,7 @@
 	start time.Time
 
 	mu          sync.Mutex
+	epoch       int64
 	version     int64
 	rows        map[rowstore.Table]map[string]rowstore.Row
 	history     []change
@@ -61,9 +63,51 @@
 	row   rowstore.Row
 }
 
-// New returns an empty store; its monotonic time starts at zero.
+// Copy is a copy of a store.
+type Copy struct {
+	number int64
+	rows   map[rowstore.Table]map[string]rowstore.Row
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{rowstore.Number(s.version), cloneRows(s.rows)}
+}
+
+// Restore replaces the content by that of a copy. The numbers of versions go back, the
+// epoch rises by one, and the change history is lost.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.version = rowstore.VersionAt(s.epoch, c.number)
+	s.rows = cloneRows(c.rows)
+	for _, rows := range s.rows {
+		for key, r := range rows {
+			r.Version = rowstore.VersionAt(s.epoch, rowstore.Number(r.Version))
+			rows[key] = r
+		}
+	}
+	s.compactedTo, s.history = s.version, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func cloneRows(rows map[rowstore.Table]map[string]rowstore.Row) map[rowstore.Table]map[string]rowstore.Row {
+	clone := make(map[rowstore.Table]map[string]rowstore.Row, len(rows))
+	for t, table := range rows {
+		clone[t] = maps.Clone(table)
+	}
+	return clone
+}
+
+// New returns an empty store in its first epoch; its monotonic time starts at zero.
 func New(clock clockwork.Clock) *Store {
 	return &Store{
+		epoch:   1,
+		version: rowstore.VersionAt(1, 0),
 		clock:   clock,
 		start:   clock.Now(),
 		rows:    make(map[rowstore.Table]map[string]rowstore.Row),
@@ -199,7 +243,17 @@
 	if !executed {
 		return rowstore.Result{}, err
 	}
+	restored := false
+	for i := range writes {
+		if w := &writes[i]; w.Expect > 0 && rowstore.Epoch(w.Expect) != s.epoch {
+			// The store compares numbers alone: the condition may hold by chance.
+			restored, w.Expect = true, rowstore.VersionAt(s.epoch, rowstore.Number(w.Expect))
+		}
+	}
 	result := s.apply(writes)
+	if restored {
+		return rowstore.Result{}, rowstore.ErrRestored
+	}
 	if err != nil {
 		return rowstore.Result{}, err
 	}
@@ -207,7 +261,7 @@
 }
 
 func (s *Store) apply(writes []rowstore.Write) rowstore.Result {
-	result := rowstore.Result{Applied: true, Time: s.now()}
+	result := rowstore.Result{Applied: true, Version: s.version, Time: s.now()}
 	for _, w := range writes {
 		current := s.rows[w.Table][w.Key]
 		if w.Expect != rowstore.AnyVersion && current.Version != w.Expect {
--- a/internal/serving/rowstore/rowstore.go
+++ b/internal/serving/rowstore/rowstore.go
@@ -34,7 +34,8 @@
 	Key string
 	// Value is the content, nil for a deleted row.
 	Value []byte
-	// Version increases with every transaction of the store; zero means absent.
+	// Version increases with every transaction of the store, also over its restorations
+	// from copies; see VersionAt. Zero means absent.
 	Version int64
 	// Deleted is true for a row that a change has deleted.
 	Deleted bool
@@ -48,10 +49,23 @@
 	Version int64
 	// Time is the reading of the store's monotonic clock.
 	Time time.Duration
-	// Epoch rises when the store is restored from a copy; zero if it is not known.
-	Epoch int64
 }
 
+// numberBits is the number of bits of a version that hold the transaction's number. With
+// the epoch above them, versions up to epoch 8191 are exact in floating point.
+const numberBits = 40
+
+// VersionAt returns the version of the transaction with a number in an epoch of the store.
+// The store numbers its transactions; when it is restored from a copy, its epoch rises and
+// its numbers go back. A version of a later epoch is higher than all of the earlier ones.
+func VersionAt(epoch, number int64) int64 { return epoch<<numberBits + number }
+
+// Epoch returns the epoch of a version; zero for a store that names none.
+func Epoch(version int64) int64 { return version >> numberBits }
+
+// Number returns the number of a version's transaction within its epoch.
+func Number(version int64) int64 { return version & (1<<numberBits - 1) }
+
 // Write is a conditional write or deletion of a row.
 type Write struct {
 	// Table and Key identify the row.
@@ -90,6 +104,9 @@
 	// ErrUnanswered means that the outcome is unknown: the call may have been
 	// executed, or may still be.
 	ErrUnanswered = errors.New("store did not answer")
+	// ErrRestored means that the store was restored from a copy after the version that a
+	// write expects. The condition may have held by chance, and the write been applied.
+	ErrRestored = errors.New("store was restored from a copy since the expected version")
 )
 
 // Store is the platform's store. It is safe for concurrent use.
@@ -97,7 +114,8 @@
 	// List returns a consistent snapshot of all rows of a table.
 	List(ctx context.Context, t Table) (Page, error)
 	// Follow returns the changes of a table after a version. Without changes it
-	// blocks until the first one, for at most wait.
+	// blocks until the first one, for at most wait. It returns ErrHistoryTruncated for
+	// a version of an earlier epoch.
 	Follow(ctx context.Context, t Table, after int64, wait time.Duration) (Page, error)
 	// Write atomically applies all writes or none.
 	Write(ctx context.Context, writes ...Write) (Result, error)
--- /dev/null
+++ b/internal/serving/tablefeed/restored_test.go
@@ -0,0 +1,106 @@
+package tablefeed_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fireflypier.example/fireflypier/internal/serving/fakestore"
+	"fireflypier.example/fireflypier/internal/serving/rowstore"
+	"fireflypier.example/fireflypier/internal/serving/tablefeed"
+)
+
+var _ = Describe("a feed of a store that is restored from a copy", func() {
+	const (
+		hold = 2 * time.Second
+		step = 50 * time.Millisecond
+	)
+	var clock *clockwork.FakeClock
+	var store *fakestore.Store
+	var seen *seenRows
+	var feed *tablefeed.Feed
+
+	advance := func(d time.Duration) {
+		for ; d > 0; d -= step {
+			clock.Advance(step)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	put := func(key, value string) { store.Put(rowstore.Targets, key, []byte(value)) }
+
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		store = fakestore.New(clock)
+		seen = &seenRows{rows: map[string]string{}}
+		feed = tablefeed.New(store, rowstore.Targets, "targets", hclog.NewNullLogger(), seen.change, tablefeed.WithHold(hold), tablefeed.WithClock(clock))
+		ctx, cancel := context.WithCancel(context.Background())
+		go feed.Run(ctx)
+		DeferCleanup(func() {
+			cancel()
+			Eventually(feed.Done()).Should(BeClosed())
+		})
+		put("kept", "1")
+		put("left", "1")
+		advance(time.Second)
+	})
+
+	// Guards against changes whose versions are lower than those before (CONFIG, DRAIN).
+	It("takes over changes though their numbers have been given out before", func() {
+		c := store.Copy()
+		for range 30 {
+			put("kept", "2")
+		}
+		advance(time.Second)
+		before := feed.ChangedAt()
+		store.Restore(c)
+		put("kept", "3")
+		advance(time.Second)
+		Expect(seen.get("kept")).To(Equal("3"))
+		Expect(feed.ChangedAt()).To(BeNumerically(">", before), "peers are told")
+		store.Delete(rowstore.Targets, "left")
+		advance(time.Second)
+		Expect(seen.get("left")).To(BeEmpty())
+	})
+
+	It("holds rows that the copy lacks until they are written again", func() {
+		c := store.Copy()
+		put("new", "1")
+		advance(time.Second)
+		store.Restore(c)
+		advance(hold - 500*time.Millisecond)
+		Expect(seen.get("new")).To(Equal("1"))
+		put("new", "2")
+		advance(2 * hold)
+		Expect(seen.get("new")).To(Equal("2"))
+	})
+
+	It("drops rows that the copy lacks and that are not written again", func() {
+		c := store.Copy()
+		put("new", "1")
+		advance(time.Second)
+		store.Restore(c)
+		advance(hold + time.Second)
+		Expect(seen.get("new")).To(BeEmpty())
+	})
+
+	It("is not set back by a peer that does not know of the restoration", func() {
+		c := store.Copy()
+		for range 30 {
+			put("kept", "2")
+		}
+		advance(time.Second)
+		older, complete := feed.Changes(0)
+		announced := feed.ChangedAt()
+		store.Restore(c)
+		put("kept", "3")
+		advance(time.Second)
+		feed.Merge(older, complete, announced)
+		Expect(seen.get("kept")).To(Equal("3"))
+		page, _ := feed.Changes(announced)
+		Expect(page.Rows).To(ContainElement(HaveField("Value", []byte("3"))), "the peer fetches the change")
+	})
+})
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -74,8 +74,6 @@
 	version   int64
 	changedAt int64
 	read      bool
-	// epoch is that of the store's last answer.
-	epoch int64
 	// failingSince is the time since which this VM's calls fail.
 	failingSince time.Time
 	// deletedAt is the version of the newest deletion.
@@ -222,29 +220,16 @@
 		return err
 	}
 	f.callSucceeded()
-	f.recordEpoch(page)
 	f.apply(page, false, f.hold)
 	return nil
 }
 
-// recordEpoch logs that the store was restored from a copy.
-func (f *Feed) recordEpoch(page rowstore.Page) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.read && page.Epoch > f.epoch {
-		f.logger.Warn("store was restored from a copy", "table", f.name, "epoch", page.Epoch, "former_epoch", f.epoch,
-			"version", page.Version, "former_version", f.version, "changed_at", f.changedAt)
-	}
-	f.epoch = page.Epoch
-}
-
 func (f *Feed) list(ctx context.Context) error {
 	page, err := f.store.List(ctx, f.table)
 	if err != nil {
 		return err
 	}
 	f.callSucceeded()
-	f.recordEpoch(page)
 	f.apply(page, true, f.hold)
 	return nil
 }
@@ -289,6 +274,9 @@
 	defer f.applyMu.Unlock()
 	now := f.clock.Now()
 	f.mu.Lock()
+	if f.read && rowstore.Epoch(page.Version) > rowstore.Epoch(f.version) {
+		f.recordRestoration(page.Version, now)
+	}
 	var changes []rowstore.Row
 	present := make(map[string]bool, len(page.Rows))
 	for _, r := range page.Rows {
@@ -326,6 +314,14 @@
 	}
 }
 
+// recordRestoration records that the store was restored from a copy, and is at a version
+// now. All rows that it lacks may be written again. The caller holds f.mu.
+func (f *Feed) recordRestoration(version int64, now time.Time) {
+	f.logger.Warn("store was restored from a copy", "table", f.name, "epoch", rowstore.Epoch(version), "number", rowstore.Number(version),
+		"former_epoch", rowstore.Epoch(f.version), "former_number", rowstore.Number(f.version))
+	f.outageEnd, f.outageVersion = now, rowstore.VersionAt(rowstore.Epoch(version), 0)
+}
+
 // drop deletes a row, or holds it if an outage may be the reason for its
 // deletion. It returns changes with the deletion, if any, appended. The caller
 // holds f.mu.
