Keep targets away that left before the store was restored (DRAIN)

The copy can have rows of targets that began to drain, or were removed, after it was taken. Until the store drops them, or their owners write again, requests would go to them.

An incarnation of a target that has drained once stays so for a VM, like one that has said in an answer that it leaves. A row that was deleted before the restoration counts as deleted until it is written again, or for five seconds: by then the store has dropped the rows of owners that are gone.

--- a/internal/serving/node/state.go
+++ b/internal/serving/node/state.go
@@ -73,6 +73,11 @@
 		}
 		fresh := n.view.Set(t)
 		if t.Draining {
+			if t.Born != 0 {
+				// An incarnation that drains never serves again, also if the store is
+				// restored from a copy with an older row of it.
+				n.view.SetLeaving(t.ID, t.Born, n.clock.Now())
+			}
 			n.notifyPeers()
 		}
 		n.Logger.Info("target", "target", r.Key, "pool", t.Pool, "address", t.Address, "draining", t.Draining,
--- a/internal/serving/tablefeed/restored_test.go
+++ b/internal/serving/tablefeed/restored_test.go
@@ -66,6 +66,42 @@
 		Expect(seen.get("left")).To(BeEmpty())
 	})
 
+	// Guards against targets that come back with the copy (DRAIN).
+	It("leaves out deleted rows that come back, until they are written again", func() {
+		c := store.Copy()
+		store.Delete(rowstore.Targets, "left")
+		advance(time.Second)
+		Expect(seen.get("left")).To(BeEmpty())
+		store.Restore(c)
+		advance(time.Second)
+		Expect(seen.get("left")).To(BeEmpty())
+		put("left", "2")
+		advance(time.Second)
+		Expect(seen.get("left")).To(Equal("2"))
+	})
+
+	It("takes over rows that come back once the store would have deleted them", func() {
+		c := store.Copy()
+		store.Delete(rowstore.Targets, "left")
+		advance(time.Second)
+		store.Restore(c)
+		advance(4 * time.Second)
+		Expect(seen.get("left")).To(BeEmpty())
+		advance(2 * time.Second)
+		Expect(seen.get("left")).To(Equal("1"))
+	})
+
+	It("does not take over rows that come back and are deleted again", func() {
+		c := store.Copy()
+		store.Delete(rowstore.Targets, "left")
+		advance(time.Second)
+		store.Restore(c)
+		advance(time.Second)
+		store.Delete(rowstore.Targets, "left")
+		advance(8 * time.Second)
+		Expect(seen.get("left")).To(BeEmpty())
+	})
+
 	It("holds rows that the copy lacks until they are written again", func() {
 		c := store.Copy()
 		put("new", "1")
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -31,8 +31,8 @@
 	firstReadWait = 1200 * time.Millisecond
 	// firstReadInterval is the time between two checks for a first copy.
 	firstReadInterval = 50 * time.Millisecond
-	// heldPollWait is the maximum duration of a long poll while deleted rows are
-	// held, so that they are dropped in time.
+	// heldPollWait is the maximum duration of a long poll while deleted rows are held, or
+	// rows doubted, so that this ends in time.
 	heldPollWait = 300 * time.Millisecond
 	// idleInterval is the time between two checks of the read condition while it
 	// is false.
@@ -40,6 +40,9 @@
 	// minOutage is the time without an answer of the store from which on rows may lapse:
 	// targets have missed two of the three heartbeats that they may miss.
 	minOutage = 2 * time.Second
+	// doubtTime is longer than the time in which the store deletes the rows of targets
+	// that are gone: three missed heartbeats.
+	doubtTime = 5 * time.Second
 	// maxDropped bounds the memory of deleted rows.
 	maxDropped = 4096
 	// retryInterval is the minimum time between the starts of two calls while the store
@@ -86,12 +89,22 @@
 	// held has the rows that the store has deleted and that are still in rows,
 	// with the time at which they are dropped.
 	held map[string]time.Time
+	// doubted has the rows that were deleted before the store was restored and that the
+	// copy has brought back. They count as deleted until they are written again, or have
+	// outlived the time in which the store deletes rows of owners that are gone.
+	doubted map[string]doubtedRow
 	// dropped has the versions of deleted rows, so that an older copy does not bring them
 	// back. A version of the table alone does not tell: the store may not announce
 	// every change.
 	dropped map[string]int64
 }
 
+// doubtedRow is a row that is left out until a time.
+type doubtedRow struct {
+	row   rowstore.Row
+	until time.Time
+}
+
 // Option configures a Feed in New.
 type Option func(*Feed)
 
@@ -135,6 +148,7 @@
 		done:     make(chan struct{}),
 		rows:     make(map[string]rowstore.Row),
 		held:     make(map[string]time.Time),
+		doubted:  make(map[string]doubtedRow),
 		dropped:  make(map[string]int64),
 	}
 	WithLag(defaultLag)(f)
@@ -199,7 +213,8 @@
 
 func (f *Feed) poll(ctx context.Context) error {
 	f.mu.Lock()
-	version, read, hasHeld, failing := f.version, f.read, len(f.held) > 0, !f.failingSince.IsZero()
+	version, read, failing := f.version, f.read, !f.failingSince.IsZero()
+	hasHeld := len(f.held) > 0 || len(f.doubted) > 0
 	f.mu.Unlock()
 	if !read {
 		return f.list(ctx)
@@ -274,7 +289,8 @@
 	defer f.applyMu.Unlock()
 	now := f.clock.Now()
 	f.mu.Lock()
-	if f.read && rowstore.Epoch(page.Version) > rowstore.Epoch(f.version) {
+	restored := f.read && rowstore.Epoch(page.Version) > rowstore.Epoch(f.version)
+	if restored {
 		f.recordRestoration(page.Version, now)
 	}
 	var changes []rowstore.Row
@@ -286,9 +302,22 @@
 		if ok && old.Version >= r.Version {
 			continue
 		}
-		if !r.Deleted && r.Version <= f.dropped[r.Key] {
+		dropped := f.dropped[r.Key]
+		if !r.Deleted && r.Version <= dropped {
 			continue // deleted since
 		}
+		if d, ok := f.doubted[r.Key]; ok {
+			if d.row.Version >= r.Version {
+				continue
+			}
+			delete(f.doubted, r.Key)
+		}
+		if restored && dropped > 0 && !ok && !r.Deleted {
+			f.doubted[r.Key] = doubtedRow{r, now.Add(doubtTime)}
+			f.logger.Info("row was deleted before the store was restored; left out until it is written again", "table", f.name, "key", r.Key,
+				"row_version", r.Version, "doubt_ms", doubtTime.Milliseconds())
+			continue
+		}
 		if r.Deleted {
 			f.recordDrop(r.Key, r.Version)
 			changes = f.drop(r.Key, now, hold, changes)
@@ -299,6 +328,11 @@
 		changes = append(changes, r)
 	}
 	if full {
+		for key := range f.doubted {
+			if !present[key] {
+				delete(f.doubted, key)
+			}
+		}
 		for key, r := range f.rows {
 			if !present[key] && r.Version <= page.Version {
 				f.changedAt = max(f.changedAt, page.Version)
@@ -320,6 +354,7 @@
 	f.logger.Warn("store was restored from a copy", "table", f.name, "epoch", rowstore.Epoch(version), "number", rowstore.Number(version),
 		"former_epoch", rowstore.Epoch(f.version), "former_number", rowstore.Number(f.version))
 	f.outageEnd, f.outageVersion = now, rowstore.VersionAt(rowstore.Epoch(version), 0)
+	clear(f.doubted)
 }
 
 // drop deletes a row, or holds it if an outage may be the reason for its
@@ -351,7 +386,7 @@
 	f.dropped[key] = max(f.dropped[key], version)
 }
 
-// expire deletes held rows whose hold time has ended.
+// expire deletes held rows whose hold time has ended, and takes over doubted ones.
 func (f *Feed) expire() {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
@@ -370,6 +405,16 @@
 		changes = append(changes, rowstore.Row{Key: key, Deleted: true})
 		f.logger.Info("row was not written again after the store outage; dropped", "table", f.name, "key", key)
 	}
+	for key, d := range f.doubted {
+		if now.Before(d.until) {
+			continue
+		}
+		delete(f.doubted, key)
+		f.rows[key] = d.row
+		f.changedAt = max(f.changedAt, f.version) // so that peers fetch the row
+		changes = append(changes, d.row)
+		f.logger.Info("row has outlived the restoration of the store; taken over", "table", f.name, "key", key, "row_version", d.row.Version)
+	}
 	f.mu.Unlock()
 	if len(changes) > 0 {
 		f.onChange(changes)
