--- a/internal/serving/election/election.go
+++ b/internal/serving/election/election.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,7 +44,18 @@
 	pollInterval = 500 * time.Millisecond
 )
 
-const rowKey = "orders"
+// rowKey returns the key of the row in an epoch of the store. After the store was restored
+// from a copy, numbers of versions are given out again, so that a write of a VM that does
+// not know of it could meet its condition by chance: it then changes a row of the past.
+func rowKey(epoch int64) string {
+	if epoch <= firstEpoch {
+		return "orders"
+	}
+	return "orders-" + strconv.FormatInt(epoch, 10)
+}
+
+// firstEpoch is the epoch of a store that was never restored.
+const firstEpoch = 1
 
 // row is the content of the leadership row.
 type row struct {
@@ -91,6 +103,14 @@
 	term    *Term
 	version int64
 	fence   int64
+	// epoch is the store's epoch, zero before the first answer. restoredAt is the local
+	// time at which this VM learned that the store was restored to it from a copy; zero
+	// if it was not.
+	epoch      int64
+	restoredAt time.Duration
+	// ledUntil is the end of this process's last term; zero if it had none, released
+	// it, or lost it to another VM.
+	ledUntil time.Duration
 	// storeTime is the last reading of the store's clock. storeTimeAt is the local
 	// time before the call that returned it.
 	storeTime, storeTimeAt time.Duration
@@ -164,8 +184,11 @@
 // Step renews the term, or tries to become leader, and returns the time until the
 // next step. Run calls it; tests may call it directly.
 func (e *Election) Step(ctx context.Context) time.Duration {
-	if e.holdsTerm() {
+	switch held, current := e.holdsTerm(); {
+	case current:
 		return e.renew(ctx)
+	case held:
+		return e.tryAcquire(ctx) // the leader does not leave its duty to others
 	}
 	ok, rank := e.candidate()
 	if !ok {
@@ -184,19 +207,32 @@
 	return e.tryAcquire(ctx)
 }
 
-// holdsTerm reports whether there is a term, and ends one that was not renewed.
-func (e *Election) holdsTerm() bool {
+// holdsTerm reports whether there is a term, and ends one that was not renewed. current is
+// set if the term is of the store's epoch and can be renewed.
+func (e *Election) holdsTerm() (held, current bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.term == nil {
-		return false
+		return false, false
 	}
 	if e.boot() >= e.term.until {
 		e.logger.Warn("duty lost: the term ended without a renewal", "fence", e.term.Fence)
 		e.term = nil
-		return false
+		return false, false
+	}
+	return true, rowstore.Epoch(e.version) == e.epoch
+}
+
+// enterEpoch records the epoch of an answer of the store. The caller holds e.mu.
+func (e *Election) enterEpoch(epoch int64) {
+	if epoch <= e.epoch {
+		return
+	}
+	if e.epoch != 0 || epoch > firstEpoch {
+		e.restoredAt = e.boot()
+		e.logger.Warn("store of the duty was restored from a copy", "epoch", epoch, "former_epoch", e.epoch, "fence", e.fence, "leads", e.term != nil)
 	}
-	return true
+	e.epoch = epoch
 }
 
 // renew renews the term, and returns the time until the next step.
@@ -206,7 +242,7 @@
 	e.mu.Unlock()
 	result, sent, err := e.write(ctx, version, fence, term)
 	switch {
-	case errors.Is(err, rowstore.ErrUnanswered):
+	case errors.Is(err, rowstore.ErrUnanswered), errors.Is(err, rowstore.ErrRestored):
 		e.resolveRenewal(ctx)
 	case err != nil:
 		e.logger.Warn("duty not renewed", "fence", fence, "error", err)
@@ -219,7 +255,7 @@
 		if e.term != nil {
 			renewed := *e.term
 			renewed.until = sent + term
-			e.term = &renewed
+			e.term, e.ledUntil = &renewed, renewed.until
 		}
 		return renewInterval
 	}
@@ -227,7 +263,9 @@
 }
 
 // resolveRenewal reads the row after a renewal with an unknown or negative outcome.
-// The term continues if the row is still that of this term, else it is lost.
+// The term continues if the row is still that of this term, else it is lost. It also
+// continues, until its end, if the store was restored from a copy: nobody leads in the new
+// epoch before all terms of the old one have ended.
 func (e *Election) resolveRenewal(ctx context.Context) {
 	r, version, _, err := e.read(ctx)
 	if err != nil {
@@ -235,10 +273,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if rowstore.Epoch(e.version) != e.epoch {
+		return
+	}
 	if r.Holder == e.self && r.Incarnation == e.incarnation && r.Fence == e.fence {
 		e.version = version
 		return
 	}
+	e.ledUntil = 0
 	e.logger.Warn("duty lost to another VM", "fence", e.fence, "holder", r.Holder, "version", version)
 	e.term = nil
 }
@@ -251,12 +293,13 @@
 	// now is an upper bound of the store's clock at the local time sent, because
 	// storeTime was read after storeTimeAt.
 	now := e.storeTime + sent - e.storeTimeAt
+	key := rowKey(e.epoch)
 	e.mu.Unlock()
 	value, err := json.Marshal(&row{Holder: e.self, Incarnation: e.incarnation, Fence: fence, UntilNanos: (now + duration).Nanoseconds()})
 	if err != nil {
 		return rowstore.Result{}, sent, errors.Wrap(err, "encode leadership row")
 	}
-	result, err := e.store.Write(ctx, rowstore.Write{Table: rowstore.Duties, Key: rowKey, Expect: expect, Value: value})
+	result, err := e.store.Write(ctx, rowstore.Write{Table: rowstore.Duties, Key: key, Expect: expect, Value: value})
 	if err == nil {
 		e.recordStoreTime(result.Time, sent)
 	}
@@ -271,8 +314,8 @@
 	e.storeTime, e.storeTimeAt = storeTime, sent
 }
 
-// read returns the row, its version and the store's clock. The version is zero if
-// there is no row.
+// read returns the row of the store's epoch, its version and the store's clock. The version
+// is zero if there is no row.
 func (e *Election) read(ctx context.Context) (r row, version int64, storeTime time.Duration, err error) {
 	sent := e.boot()
 	page, err := e.store.List(ctx, rowstore.Duties)
@@ -280,8 +323,12 @@
 		return r, 0, 0, err
 	}
 	e.recordStoreTime(page.Time, sent)
+	epoch := rowstore.Epoch(page.Version)
+	e.mu.Lock()
+	e.enterEpoch(epoch)
+	e.mu.Unlock()
 	for _, stored := range page.Rows {
-		if stored.Key != rowKey {
+		if stored.Key != rowKey(epoch) {
 			continue
 		}
 		if err := json.Unmarshal(stored.Value, &r); err != nil {
@@ -305,9 +352,16 @@
 	if version != 0 && r.Holder != e.self && storeTime < availableAt {
 		return min(max(availableAt-storeTime, rankDelay), pollInterval)
 	}
+	wait, former := e.formerTerms()
+	if version == 0 && wait > 0 {
+		return min(wait, pollInterval)
+	}
 	// The fencing token is the replaced version plus one: it grows with each new
-	// term and stays the same over renewals.
+	// term and stays the same over renewals. Versions of a later epoch are higher.
 	fence := version + 1
+	if version == 0 {
+		fence = rowstore.VersionAt(e.currentEpoch(), 0) + 1
+	}
 	result, sent, err := e.write(ctx, version, fence, term)
 	if err != nil {
 		e.logger.Warn("duty not taken", "error", err)
@@ -317,6 +371,11 @@
 		return pollInterval
 	}
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	if epoch := rowstore.Epoch(result.Version); epoch != e.epoch {
+		e.enterEpoch(epoch) // restored since the row was read: the write has changed a row of the past
+		return pollInterval
+	}
 	e.version = result.Version
 	e.fence = fence
 	e.term = &Term{
@@ -326,17 +385,42 @@
 		until:     sent + term,
 		clock:     e.boot,
 	}
-	e.mu.Unlock()
+	if version == 0 {
+		e.term.Inherited, e.term.Vacancy = former, max(0, sent-e.restoredAt-term)
+	}
+	e.ledUntil = e.term.until
 	e.logger.Info("duty taken", "fence", fence, "former_holder", r.Holder, "version", result.Version)
 	return renewInterval
 }
 
+// formerTerms returns the time until all terms of the epoch before have ended, and the
+// order gap has passed, if the store was restored from a copy. It is zero for the VM that
+// led last. former is set if another VM may have led in that epoch.
+func (e *Election) formerTerms() (wait time.Duration, former bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.restoredAt == 0 {
+		return 0, false
+	}
+	// No VM takes over from this one within the order gap.
+	if e.ledUntil != 0 && e.restoredAt < e.ledUntil+e.orderGap {
+		return 0, false
+	}
+	return max(0, e.restoredAt+term+e.orderGap+takeoverMargin-e.boot()), true
+}
+
+func (e *Election) currentEpoch() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.epoch
+}
+
 // release ends the term immediately, so that a successor waits only for the order
 // gap and takeoverMargin.
 func (e *Election) release() {
 	e.mu.Lock()
 	held, version, fence := e.term != nil, e.version, e.fence
-	e.term = nil
+	e.term, e.ledUntil = nil, 0
 	e.mu.Unlock()
 	if !held {
 		return
--- a/internal/serving/election/election_test.go
+++ b/internal/serving/election/election_test.go
@@ -138,6 +138,51 @@
 		Expect(a.Fence()).To(Equal(fence))
 	})
 
+	It("is taken again at once by the leader after the store was restored, with a higher fencing token", func() {
+		a, b := s.election(1, 1), s.election(2, 1)
+		c := s.store.Copy()
+		a.Step(ctx)
+		fence := a.Fence()
+		s.clock.Advance(700 * time.Millisecond)
+		s.store.Restore(c)
+		a.Step(ctx)
+		a.Step(ctx)
+		Expect(a.Fence()).To(BeNumerically(">", fence))
+		for range 20 {
+			s.clock.Advance(700 * time.Millisecond)
+			a.Step(ctx)
+			b.Step(ctx)
+			Expect(a.Term()).NotTo(BeNil())
+			Expect(b.Term()).To(BeNil())
+		}
+	})
+
+	// Guards against two leaders, and loads of the former one that are forgotten, after the
+	// row of the duty has become older (ONE, CEILING).
+	It("passes to a successor only after all lost terms and the order gap", func() {
+		a, b := s.election(1, 1), s.election(2, 1)
+		b.Step(ctx)
+		s.clock.Advance(2100 * time.Millisecond)
+		c := s.store.Copy() // its row tells of a term of b that has ended
+		for a.Term() == nil {
+			s.clock.Advance(100 * time.Millisecond)
+			a.Step(ctx)
+		}
+		fence, term := a.Fence(), a.Term()
+		s.store.Restore(c)
+		began := s.boot()
+		for b.Term() == nil {
+			Expect(s.boot() - began).To(BeNumerically("<", 10*time.Second))
+			b.Step(ctx)
+			s.clock.Advance(100 * time.Millisecond)
+		}
+		Expect(term.Valid()).To(BeFalse())
+		Expect(s.boot() - began).To(BeNumerically(">=", 2*time.Second+orderGap))
+		Expect(b.Fence()).To(BeNumerically(">", fence))
+		Expect(b.Term().Inherited).To(BeTrue())
+		Expect(b.Term().Vacancy).To(BeNumerically("~", orderGap, 500*time.Millisecond))
+	})
+
 	It("is not acquired while the row cannot be decoded", func() {
 		s.store.Put(rowstore.Duties, "orders", []byte("{"))
 		a := s.election(1, 1)
@@ -153,8 +198,8 @@
 	fence int64
 }
 
-// TestOrderGapBetweenLeaders freezes and restarts VMs and fails calls to the store
-// at random. It checks that orders of two VMs are at least orderGap apart and that
+// TestOrderGapBetweenLeaders freezes and restarts VMs, fails calls to the store and
+// restores it from older copies at random. It checks that orders of two VMs are at least orderGap apart and that
 // fencing tokens never decrease.
 func TestOrderGapBetweenLeaders(t *testing.T) {
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
@@ -173,6 +218,7 @@
 			vms[i] = s.election(i, incarnation)
 		}
 		var orders []sentOrder
+		copies := []*fakestore.Copy{s.store.Copy()}
 		for range 400 {
 			s.clock.Advance(time.Duration(rapid.IntRange(10, 200).Draw(rt, "step")) * time.Millisecond)
 			i := rapid.IntRange(0, len(vms)-1).Draw(rt, "vm")
@@ -186,6 +232,11 @@
 				s.store.Fail(fakestore.Failure(rapid.IntRange(0, 3).Draw(rt, "failure")))
 			case 3, 4, 5:
 				s.store.Fail(fakestore.None)
+			case 6, 7:
+				copies = append(copies, s.store.Copy())
+			case 8:
+				s.store.Restore(copies[rapid.IntRange(0, len(copies)-1).Draw(rt, "copy")])
+				copies = []*fakestore.Copy{s.store.Copy()}
 			}
 			if s.boot() < frozen[i] {
 				continue
