Register again after the store was restored (CONFIG)

A VM that starts finds the others in the members table. The rows of VMs that joined after the copy was taken were lost for good, since a VM registered only once.

--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -255,7 +255,7 @@
 	})
 	n.wg.Go(func() { n.policies.Run(workCtx) })
 	n.wg.Go(func() { n.targets.Run(workCtx) })
-	n.wg.Go(func() { n.join(workCtx) })
+	n.wg.Go(func() { n.stayRegistered(workCtx) })
 	n.wg.Go(func() { n.election.Run(leaderCtx) })
 	n.wg.Go(func() { n.engineControl.Run(leaderCtx) })
 	n.wg.Go(func() { n.updateLoop(workCtx) })
@@ -371,57 +371,3 @@
 	})
 	return n.directory.Addresses(found)
 }
-
-// join adds the seeds to the mesh and registers this VM in the store. It retries the
-// registration until it succeeds or ctx ends.
-func (n *Node) join(ctx context.Context) {
-	for _, seed := range n.Settings.Seeds {
-		n.mesh.Add(&meshpb.Member{Peer: seed.String()})
-	}
-	for ctx.Err() == nil {
-		err := n.register(ctx)
-		if err == nil {
-			return
-		}
-		n.Logger.Warn("registration in the members table failed, retrying", "error", err)
-		select {
-		case <-n.clock.After(joinRetryInterval):
-		case <-ctx.Done():
-		}
-	}
-}
-
-const joinRetryInterval = 500 * time.Millisecond // outages of the store last for seconds
-
-// register writes this VM's row to the members table, and adds the listed VMs to the
-// mesh.
-func (n *Node) register(ctx context.Context) error {
-	s := n.Settings
-	value, err := encodeMember(&memberRow{
-		Incarnation: n.incarnation,
-		Name:        s.Name,
-		DataCentre:  s.DataCentre,
-		Front:       s.Front,
-	})
-	if err != nil {
-		return err
-	}
-	if _, err := n.store.Write(ctx, rowstore.Write{Table: rowstore.Members, Key: s.Peer.String(), Expect: rowstore.AnyVersion, Value: value}); err != nil {
-		return errors.Wrap(err, "write member row")
-	}
-	page, err := n.store.List(ctx, rowstore.Members)
-	if err != nil {
-		return errors.Wrap(err, "list members")
-	}
-	for _, row := range page.Rows {
-		m, err := decodeMember(row.Key, row.Value)
-		if err != nil {
-			n.Logger.Warn("member row ignored", "key", row.Key, "version", row.Version, "error", err)
-			continue
-		}
-		n.mesh.Add(m)
-	}
-	n.joined.Store(true)
-	n.Logger.Info("registered in the members table", "members", len(page.Rows), "version", page.Version)
-	return nil
-}
