--- a/internal/serving/fakestore/fakestore.go
+++ b/internal/serving/fakestore/fakestore.go
@@ -76,6 +76,13 @@
 	return &Copy{rowstore.Number(s.version), cloneRows(s.rows)}
 }
 
+// Epoch returns the epoch of the store.
+func (s *Store) Epoch() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
 // Restore replaces the content by that of a copy. The numbers of versions go back, the
 // epoch rises by one, and the change history is lost.
 func (s *Store) Restore(c *Copy) {
@@ -201,7 +208,7 @@
 			}
 			return rowstore.Page{}, rowstore.ErrUnanswered
 		}
-		if err == nil && after < s.compactedTo {
+		if err == nil && (after < s.compactedTo || after > s.version) {
 			err = rowstore.ErrHistoryTruncated
 		}
 		page := rowstore.Page{Version: s.version, Time: s.now()}
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -43,6 +43,8 @@
 	runs       map[string][]string
 	violations []string
 	lastThaw   time.Time
+	// published writes the last configuration again.
+	published func()
 }
 
 // node is one VM, on which a node process is restarted whenever it ends.
@@ -214,6 +216,13 @@
 // publish writes a configuration with the given version and API key. To give two
 // keys, key contains the quotes and the comma between them.
 func (s *testSite) publish(version int, key string) {
+	s.mu.Lock()
+	s.published = func() { s.putPolicy(version, key) }
+	s.mu.Unlock()
+	s.putPolicy(version, key)
+}
+
+func (s *testSite) putPolicy(version int, key string) {
 	s.rows.Put(rowstore.Policies, rowstore.PolicyKey, fmt.Appendf(nil, `{"version":%[1]d,"routes":[
  {"name":"look","hostname":"h.example","prefix":"/look/","type":"safe","timeout_ms":2000,"target_latency_ms":150,"service":"plain","max_attempts":2},
  {"name":"buy","hostname":"h.example","prefix":"/buy/","type":"unsafe","timeout_ms":2000,"target_latency_ms":150,"service":"plain","max_attempts":1},
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -105,6 +105,7 @@
 			}
 			s.injectFaults(length)
 			time.Sleep(recoveryTime)
+			s.checkLimits()
 			served, sent := s.checkRecovered()
 			stop()
 			wg.Wait()
@@ -252,6 +253,9 @@
 // when all of them have ended.
 func (s *testSite) injectFaults(length time.Duration) {
 	var wg conc.WaitGroup
+	defer wg.Wait()
+	ends := time.Now().Add(length)
+	wg.Go(func() { s.restoreStore(ends) })
 	version := 1
 	for began := time.Now(); time.Since(began) < length; {
 		n := s.nodes[s.rand.IntN(len(s.nodes))]
@@ -267,7 +271,6 @@
 		}
 		time.Sleep(time.Duration(100+s.rand.IntN(900)) * time.Millisecond)
 	}
-	wg.Wait()
 }
 
 // injectFault injects one fault of the given kind at a node, the store or a
--- a/tests/soak/store_test.go
+++ b/tests/soak/store_test.go
@@ -46,7 +46,8 @@
 		s.writeResult(w, r.URL.Query().Get("table"), page, err)
 	})
 	mux.HandleFunc("GET /rows-feed", func(w http.ResponseWriter, r *http.Request) {
-		after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		number, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		after := rowstore.VersionAt(s.rows.Epoch(), number)
 		wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 		page, err := s.rows.Follow(r.Context(), tables[r.URL.Query().Get("table")], after, time.Duration(wait)*time.Millisecond)
 		s.writeResult(w, r.URL.Query().Get("table"), page, err)
@@ -67,6 +68,9 @@
 	}
 	expect := map[string]int64{}
 	for _, row := range body.Expected {
+		if row.Ver != 0 {
+			row.Ver = rowstore.VersionAt(s.rows.Epoch(), row.Ver)
+		}
 		expect[row.Table+"/"+row.Key] = row.Ver
 	}
 	var writes []rowstore.Write
@@ -97,6 +101,7 @@
 	case err == nil:
 		s.write(w, http.StatusOK, table, page)
 	case errors.Is(err, rowstore.ErrHistoryTruncated):
+		w.Header().Set("Store-Era", strconv.FormatInt(s.rows.Epoch(), 10))
 		w.WriteHeader(http.StatusGone)
 	case errors.Is(err, rowstore.ErrRefused):
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -106,15 +111,16 @@
 }
 
 func (s *store) write(w http.ResponseWriter, status int, table string, page rowstore.Page) {
-	out := wirePage{Rows: []wireRow{}, Ver: page.Version, NowMS: float64(page.Time) / float64(time.Millisecond)}
+	out := wirePage{Rows: []wireRow{}, Ver: rowstore.Number(page.Version), NowMS: float64(page.Time) / float64(time.Millisecond)}
 	for _, r := range page.Rows {
-		row := wireRow{Key: r.Key, Value: r.Value, Ver: r.Version, Tombstone: r.Deleted}
+		row := wireRow{Key: r.Key, Value: r.Value, Ver: rowstore.Number(r.Version), Tombstone: r.Deleted}
 		if table == "op" && r.Key == rowstore.PolicyKey {
 			row.Key = configKey
 		}
 		out.Rows = append(out.Rows, row)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.FormatInt(rowstore.Epoch(page.Version), 10))
 	w.WriteHeader(status)
 	_ = json.MarshalWrite(w, &out)
 }
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -40,11 +41,26 @@
 	holder   string
 	orderAt  time.Time
 	draining bool
+	// limit is the limit that the target names, if it is above zero; calls has the times
+	// of all calls since then.
+	limit int
+	calls []time.Time
+}
+
+// recordCall records a call, and names the limit in its answer.
+func (t *target) recordCall(w http.ResponseWriter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limit > 0 {
+		t.calls = append(t.calls, time.Now())
+		w.Header().Set("Server-Limit", strconv.Itoa(t.limit))
+	}
 }
 
 // serve answers reports and orders, and runs and records any other request.
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Fireflypier-Request-Id")
+	t.recordCall(w)
 	switch {
 	case r.URL.Path == "/report":
 		t.report(w)
