--- a/internal/serving/election/election.go
+++ b/internal/serving/election/election.go
@@ -229,7 +229,9 @@
 		return
 	}
 	if e.epoch != 0 || epoch > firstEpoch {
-		e.restoredAt = e.boot()
+		e.restoredAt = e.boot() // a process that has just started assumes the latest time
+	}
+	if e.epoch != 0 {
 		e.logger.Warn("store of the duty was restored from a copy", "epoch", epoch, "former_epoch", e.epoch, "fence", e.fence, "leads", e.term != nil)
 	}
 	e.epoch = epoch
--- a/internal/serving/fleetview/limits.go
+++ b/internal/serving/fleetview/limits.go
@@ -13,7 +13,7 @@
 
 // limitMark is what the answers of a target say of its limit.
 type limitMark struct {
-	limit target.Limit
+	current target.Limit
 	// at is the time of the latest answer, to this VM or another, ownAt that of the
 	// latest one to this VM.
 	at, ownAt time.Time
@@ -61,10 +61,10 @@
 // updateLimit sets a limit and reports whether it has changed. The caller holds v.mu.
 func (v *View) updateLimit(m *limitMark, l target.Limit, at time.Time) bool {
 	m.at = at
-	if m.limit == l {
+	if m.current == l {
 		return false
 	}
-	m.limit = l
+	m.current = l
 	v.limitVersion++
 	m.version = v.limitVersion
 	return true
@@ -80,7 +80,7 @@
 	for id, m := range v.marks {
 		if m.limit.version > seen {
 			limits = append(limits, &meshpb.Limit{
-				Target: id, Born: m.born, Named: m.limit.limit.Named, PerSecond: m.limit.limit.PerSecond,
+				Target: id, Born: m.born, Named: m.limit.current.Named, PerSecond: m.limit.current.PerSecond,
 				AgeMs: now.Sub(m.limit.at).Milliseconds(),
 			})
 		}
@@ -93,7 +93,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if m := v.marks[id]; m != nil && m.born == born {
-		return m.limit.limit
+		return m.limit.current
 	}
 	return target.Limit{}
 }
@@ -112,8 +112,8 @@
 // The caller holds v.mu.
 func (v *View) callWait(s *state, now time.Time) (target.Limit, time.Duration) {
 	m := v.marks[s.target.ID]
-	if m == nil || m.born != s.target.Born || !m.limit.limit.Named {
+	if m == nil || m.born != s.target.Born || !m.limit.current.Named {
 		return target.Limit{}, 0
 	}
-	return m.limit.limit, max(0, m.limit.nextCall.Sub(now))
+	return m.limit.current, max(0, m.limit.nextCall.Sub(now))
 }
