--- a/internal/serving/node/borrow.go
+++ b/internal/serving/node/borrow.go
@@ -21,6 +21,19 @@
 // hubs, the same for all VMs. If the lender does not answer, another hub lends. borrow
 // reports whether the charge was made; if not, after is the time until it could be.
 func (n *Node) borrow(ctx context.Context, customer string, cost float64) (ok bool, after time.Duration, err error) {
+	order := n.hubOrder(customer)
+	for _, lender := range order[:min(maxLenders, len(order))] {
+		ok, after, err = n.borrowFrom(ctx, lender, customer, cost)
+		if err == nil {
+			return ok, after, nil
+		}
+	}
+	return false, 0, err
+}
+
+// hubOrder returns the hubs in the order in which they lend for a key: a customer or the ID
+// of a target.
+func (n *Node) hubOrder(key string) []netip.AddrPort {
 	hubs := n.mesh.Hubs()
 	names := make([]string, len(hubs))
 	byName := make(map[string]netip.AddrPort, len(hubs))
@@ -28,14 +41,11 @@
 		names[i] = h.String()
 		byName[names[i]] = h
 	}
-	order := rendezvous.Order(customer, names)
-	for _, name := range order[:min(maxLenders, len(order))] {
-		ok, after, err = n.borrowFrom(ctx, byName[name], customer, cost)
-		if err == nil {
-			return ok, after, nil
-		}
+	order := make([]netip.AddrPort, 0, len(hubs))
+	for _, name := range rendezvous.Order(key, names) {
+		order = append(order, byName[name])
 	}
-	return false, 0, err
+	return order
 }
 
 func (n *Node) borrowFrom(ctx context.Context, lender netip.AddrPort, customer string, cost float64) (ok bool, after time.Duration, err error) {
--- a/internal/serving/node/reserve.go
+++ b/internal/serving/node/reserve.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"fireflypier.example/fireflypier/internal/rendezvous"
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/serving/targetlimit"
@@ -25,21 +24,11 @@
 // lenders returns the VMs that reserve calls to a target, in the order in which they are
 // asked: the hubs, the same for all VMs. A VM that leaves is not one of them.
 func (n *Node) lenders(targetID string) []netip.AddrPort {
-	hubs := n.mesh.Hubs()
-	names := make([]string, 0, len(hubs))
-	byName := make(map[string]netip.AddrPort, len(hubs))
-	for _, h := range hubs {
-		if h == n.Settings.Peer && n.leaving.Load() && len(hubs) > 1 {
-			continue
-		}
-		names = append(names, h.String())
-		byName[h.String()] = h
-	}
-	var order []netip.AddrPort
-	for _, name := range rendezvous.Order(targetID, names) {
-		order = append(order, byName[name])
+	order := n.hubOrder(targetID)
+	if !n.leaving.Load() || len(order) == 1 {
+		return order
 	}
-	return order
+	return slices.DeleteFunc(order, func(hub netip.AddrPort) bool { return hub == n.Settings.Peer })
 }
 
 // reserve implements forward.Config.Reserve: it reserves a call at the target's lender, or
