Let adapter loads wait for the call in progress to their engine

Cause: reports and orders held the engine's lock while they were in progress, and the choice of an engine for an adapter passed over locked ones. If the only engine with the model was just reporting, the load was not tried; the request asks only once and was then refused or waited in vain.

Change: a call holds a semaphore and frees the lock of the state. An adapter load waits for its turn, within the time of its caller, and an engine that has still to answer is chosen only if no other is much better.

Measured: the new spec fails without the change.

--- a/internal/serving/enginecontrol/adapter.go
+++ b/internal/serving/enginecontrol/adapter.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"fireflypier.example/fireflypier/internal/serving/election"
@@ -33,8 +35,15 @@
 		c.Logger.Info("adapter not loaded: no engine with the model accepts orders", "model", model, "adapter", adapter)
 		return ""
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	if err := e.begin(ctx); err != nil {
+		c.Logger.Info("adapter not loaded: its engine is slow to answer", "model", model, "adapter", adapter, "engine", e.target.ID, "error", err)
+		return ""
+	}
+	defer e.end()
+	if _, ok := e.adapterCost(pool.Engine, model, key, false, c.Clock.Now()); !ok {
+		c.Logger.Info("adapter not loaded: its engine no longer accepts the order", "model", model, "adapter", adapter, "engine", e.target.ID)
+		return ""
+	}
 	c.recordUse(adapterID{poolName, key}, c.Clock.Now())
 	_, unanswered := e.unanswered[key]
 	if e.adapters()[key] && !unanswered {
@@ -50,10 +59,7 @@
 	case target.Accepted, target.Holds:
 		e.recentlyLoaded[key] = c.Clock.Now()
 		delete(e.recentlyUnloaded, key)
-		select {
-		case <-c.Clock.After(adapterLoadTime):
-		case <-ctx.Done():
-		}
+		e.call(func() { c.sleep(ctx, adapterLoadTime) })
 		c.publish(e)
 		return e.target.ID
 	case target.Unanswered:
@@ -64,18 +70,19 @@
 }
 
 // chooseEngine returns the engine with the lowest adapterCost plus unfinished
-// requests; nil if no engine can take the adapter. It skips draining engines and
-// engines with an order or a report request in progress.
+// requests; nil if no engine can take the adapter. It skips draining engines.
 func (c *Controller) chooseEngine(pool *policy.Pool, model, key string) *engine {
 	now := c.Clock.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	engines := slices.Collect(maps.Values(c.engines)) // e.mu is locked before c.mu elsewhere
+	c.mu.Unlock()
 	var best *engine
 	var bestCost float64
-	for _, e := range c.engines {
-		if e.target.Pool != pool.Name || e.target.Draining || !e.mu.TryLock() {
+	for _, e := range engines {
+		if e.target.Pool != pool.Name || e.target.Draining {
 			continue
 		}
+		e.mu.Lock()
 		cost, ok := e.adapterCost(pool.Engine, model, key, c.Limit(e.target).Named, now)
 		e.mu.Unlock()
 		if !ok {
@@ -95,8 +102,9 @@
 func (e *engine) adapterCost(spec *policy.Engine, model, key string, limited bool, now time.Time) (cost float64, ok bool) {
 	// evictionCost is added if another adapter must be unloaded first, perAdapter
 	// for each adapter that the engine holds. Both count unfinished requests.
-	// limitedCost is added for an engine that takes only few calls a second.
-	const evictionCost, perAdapter, limitedCost = 12.0, 1.0, 20.0
+	// limitedCost is added for an engine that takes only few calls a second, callingCost
+	// for one that has still to answer another call.
+	const evictionCost, perAdapter, limitedCost, callingCost = 12.0, 1.0, 20.0, 6.0
 	if !e.ready(now) || (e.unloading != nil && e.unloading.model == model) {
 		return 0, false
 	}
@@ -117,6 +125,9 @@
 	if limited {
 		cost += limitedCost
 	}
+	if e.calling {
+		cost += callingCost
+	}
 	return cost, true
 }
 
--- a/internal/serving/enginecontrol/engine.go
+++ b/internal/serving/enginecontrol/engine.go
@@ -1,11 +1,15 @@
 package enginecontrol
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+
 	"fireflypier.example/fireflypier/internal/serving/policy"
 	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/serving/targetlimit"
@@ -45,10 +49,13 @@
 	return o.unanswered && r.Orders == o.expected && now.Sub(o.sent) > resendAfter
 }
 
-// engine is the controller's view of one incarnation of an engine. mu is held
-// while an order is in progress, so that orders are sent one at a time.
+// engine is the controller's view of one incarnation of an engine. Reports and orders
+// are requested one at a time, between begin and end; only then does the state change.
 type engine struct {
-	mu sync.Mutex
+	calls *semaphore.Weighted
+	// mu guards the state. It is free during a call, so that others can read the state.
+	mu      sync.Mutex
+	calling bool
 
 	target          *target.Target
 	report          *target.Report
@@ -81,6 +88,7 @@
 
 func newEngine(t *target.Target) *engine {
 	return &engine{
+		calls:            semaphore.NewWeighted(1),
 		target:           t,
 		draining:         make(map[string]time.Time),
 		recentlyLoaded:   make(map[string]time.Time),
@@ -90,6 +98,32 @@
 	}
 }
 
+// begin waits until no other call is in progress, and locks e.mu. It fails if ctx ends first.
+func (e *engine) begin(ctx context.Context) error {
+	if err := e.calls.Acquire(ctx, 1); err != nil {
+		return errors.Wrapf(err, "wait for the calls to engine %s", e.target.ID)
+	}
+	e.mu.Lock()
+	return nil
+}
+
+// end undoes begin.
+func (e *engine) end() {
+	e.mu.Unlock()
+	e.calls.Release(1)
+}
+
+// call runs f, which takes time, with e.mu unlocked. The caller has called begin.
+func (e *engine) call(f func()) {
+	e.calling = true
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		e.calling = false
+	}()
+	f()
+}
+
 func adapterKey(model, adapter string) string { return model + "/" + adapter }
 
 // observe updates the engine's state from a report that was requested at the time
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -230,8 +230,11 @@
 // reconcile fetches a report if one is due, and continues pending orders: it
 // resends unanswered ones, unloads drained models and loads their replacement.
 func (c *Controller) reconcile(ctx context.Context, term *election.Term, p *policy.Policy, e *engine, now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	if err := e.begin(ctx); err != nil {
+		c.Logger.Debug("engine not reconciled", "engine", e.target.ID, "error", err)
+		return
+	}
+	defer e.end()
 	if now.Sub(e.reportRequested) >= e.reportInterval(c.Limit(e.target)) {
 		c.fetchReport(ctx, e)
 	}
@@ -276,7 +279,9 @@
 		return
 	}
 	reportRequested := c.Clock.Now()
-	r, err := c.Engines.Report(ctx, e.target.Address)
+	var r *target.Report
+	var err error
+	e.call(func() { r, err = c.Engines.Report(ctx, e.target.Address) })
 	if err != nil {
 		c.Logger.Debug("engine report failed", "engine", e.target.ID, "error", err)
 		e.reportRequested = reportRequested // retry after the report interval
@@ -306,7 +311,9 @@
 		e.blockedUntil = e.permit
 		return target.NotSent
 	}
-	outcome, err := c.Engines.Order(ctx, e.target, &o)
+	var outcome target.Outcome
+	var err error
+	e.call(func() { outcome, err = c.Engines.Order(ctx, e.target, &o) })
 	c.Logger.Info("order", "engine", e.target.ID, "operation", o.Operation.String(), "model", o.Model, "adapter", o.Adapter,
 		"expected", o.Expected, "fence", o.Fence, "outcome", outcome.String(), "report_age_ms", c.Clock.Since(e.reportRequested).Milliseconds(), "error", err)
 	switch outcome {
@@ -393,10 +400,11 @@
 		}
 	}
 	for _, e := range live {
-		if e.target.Pool != pool.Name || !e.mu.TryLock() {
+		if e.target.Pool != pool.Name {
 			continue
 		}
-		if e.report != nil {
+		e.mu.Lock()
+		if e.report != nil && !e.calling {
 			in.Engines = append(in.Engines, c.placementEngine(e, pool.Engine, now))
 			if e.loading != nil {
 				loading++
@@ -460,8 +468,11 @@
 			return
 		}
 		c.spawn(wg, e, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
+			if err := e.begin(ctx); err != nil {
+				c.Logger.Info("plan not executed", "engine", a.Engine, "model", a.Model, "drop", a.Unload, "error", err)
+				return
+			}
+			defer e.end()
 			c.Logger.Info("plan", "engine", a.Engine, "model", a.Model, "drop", a.Unload, "for", a.For, "cold", a.Cold, "reason", a.Reason, "report_age_ms", c.Clock.Since(e.reportRequested).Milliseconds())
 			if a.Unload {
 				e.draining[a.Model], e.replacement = c.Clock.Now(), a.For
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -73,6 +73,9 @@
 	limit          target.Limit
 	calls, permits int
 	denies         bool
+	// reportDelay is the time that a report takes; reporting counts those in progress.
+	reportDelay time.Duration
+	reporting   int
 }
 
 // permit is the Permit of the controllers.
@@ -98,6 +101,18 @@
 	return f.limit
 }
 
+func (f *fleetSim) setReportDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reportDelay = d
+}
+
+func (f *fleetSim) reportsInProgress() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reporting
+}
+
 // counts returns the calls and the permits since the last time, and resets both.
 func (f *fleetSim) counts() (calls, permits int) {
 	f.mu.Lock()
@@ -134,6 +149,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	if delay := f.reportDelay; delay > 0 {
+		f.reporting++
+		f.mu.Unlock()
+		<-f.clock.After(delay)
+		f.mu.Lock()
+		f.reporting--
+	}
 	e := f.engines[addr]
 	r := &target.Report{Limit: f.limit, Born: 1, Orders: e.orders, Busy: e.busy}
 	for m, adapters := range e.models {
@@ -371,6 +393,23 @@
 		Expect(calls).To(BeNumerically("<=", 1), "one call may have been permitted before")
 	})
 
+	It("loads an adapter although the only engine with its model is reporting", func() {
+		fleet := newFleet(clock, 1, 1)
+		for _, e := range fleet.engines {
+			e.models["m1"], e.models["m2"] = map[string]bool{}, map[string]bool{}
+		}
+		v := startVM(fleet, 1)
+		advance(3 * time.Second)
+		fleet.setReportDelay(200 * time.Millisecond)
+		for fleet.reportsInProgress() == 0 {
+			advance(25 * time.Millisecond)
+		}
+		done := make(chan string, 1)
+		go func() { done <- v.controller.LoadAdapter(context.Background(), "engines", "m1", "a1") }()
+		advance(300 * time.Millisecond)
+		Eventually(done).Should(Receive(Not(BeEmpty())))
+	})
+
 	It("loads adapters, and unloads others when all slots are in use", func() {
 		fleet := newFleet(clock, 1, 1)
 		for _, e := range fleet.engines {
--- a/internal/serving/enginecontrol/permit.go
+++ b/internal/serving/enginecontrol/permit.go
@@ -34,10 +34,7 @@
 	}
 	c.reserveCall(ctx, e)
 	if wait := e.permit.Sub(c.Clock.Now()); e.reserved && wait <= maxAdapterWait {
-		select {
-		case <-c.Clock.After(wait):
-		case <-ctx.Done():
-		}
+		e.call(func() { c.sleep(ctx, wait) })
 	}
 }
 
@@ -46,9 +43,19 @@
 	if e.reserved {
 		return
 	}
-	wait, ok := c.Permit(ctx, e.target)
+	var wait time.Duration
+	var ok bool
+	e.call(func() { wait, ok = c.Permit(ctx, e.target) })
 	if !ok {
 		wait = max(wait, refusedBackoff)
 	}
 	e.reserved, e.permit = ok, c.Clock.Now().Add(wait)
 }
+
+// sleep returns after d or when ctx ends.
+func (c *Controller) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-c.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
