Count engines in the placement while a call to them is in progress

Found on the way: placementInput passed over engines with a report or an order in progress. Their models then counted as missing for that moment, and were loaded once more elsewhere; engines far away or slow were missing most often.

Change: the state is readable during a call, so the placement counts each engine, and only gives no orders to one that has still to answer. That an engine which no longer answers was passed over had its use: it now counts as gone 500 ms after the first report request that gets no answer, until it answers.

--- a/internal/serving/enginecontrol/engine.go
+++ b/internal/serving/enginecontrol/engine.go
@@ -25,6 +25,8 @@
 	// request started or ended. It covers the delay of the digest that reports
 	// the next request.
 	adapterMinIdle = 700 * time.Millisecond
+	// silentAfter is the time after which an engine that does not answer counts as gone.
+	silentAfter = 500 * time.Millisecond
 	// idleReportShare is the share of an engine's limit that its reports may take while it
 	// is idle, activeReportShare that while orders are in progress.
 	idleReportShare, activeReportShare = 0.2, 0.5
@@ -60,6 +62,9 @@
 	target          *target.Target
 	report          *target.Report
 	reportRequested time.Time
+	// silentSince is the time of the first report request since the last that was
+	// answered in time; zero if that was the last one.
+	silentSince time.Time
 	// acceptedOrders is the number of orders that the engine has accepted: that of
 	// its last report plus the orders accepted since.
 	acceptedOrders int64
@@ -298,6 +303,11 @@
 	return e.report != nil && !e.report.Busy && !now.Before(e.blockedUntil)
 }
 
+// silent reports whether the engine does not answer.
+func (e *engine) silent(now time.Time) bool {
+	return !e.silentSince.IsZero() && now.Sub(e.silentSince) > silentAfter
+}
+
 // held returns the models and adapters that other VMs may send requests for. It
 // omits draining models.
 func (e *engine) held() []target.LoadedModel {
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -18,6 +18,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"fireflypier.example/fireflypier/internal/serving/election"
@@ -279,9 +280,15 @@
 		return
 	}
 	reportRequested := c.Clock.Now()
+	if e.silentSince.IsZero() {
+		e.silentSince = reportRequested
+	}
 	var r *target.Report
 	var err error
 	e.call(func() { r, err = c.Engines.Report(ctx, e.target.Address) })
+	if !errors.Is(err, context.DeadlineExceeded) {
+		e.silentSince = time.Time{}
+	}
 	if err != nil {
 		c.Logger.Debug("engine report failed", "engine", e.target.ID, "error", err)
 		e.reportRequested = reportRequested // retry after the report interval
@@ -384,8 +391,8 @@
 }
 
 // placementInput returns the placement input for the pool's engines that have
-// reported, and the number of pending model loads among them. It skips engines
-// with an order or a report request in progress, and returns nil if none is left.
+// reported, and the number of pending model loads among them. It skips engines that
+// do not answer, and returns nil if none is left.
 func (c *Controller) placementInput(pool *policy.Pool, live []*engine, demand map[weightsdemand.Key]weightsdemand.Level) (in *modelplacement.Input, loading int) {
 	now := c.Clock.Now()
 	in = &modelplacement.Input{Spec: pool.Engine, Demand: make(map[string]modelplacement.Demand), Now: now}
@@ -404,7 +411,7 @@
 			continue
 		}
 		e.mu.Lock()
-		if e.report != nil && !e.calling {
+		if e.report != nil && !e.silent(now) {
 			in.Engines = append(in.Engines, c.placementEngine(e, pool.Engine, now))
 			if e.loading != nil {
 				loading++
@@ -427,7 +434,7 @@
 		Models:   make(map[string]time.Time),
 		Serving:  make(map[string]bool),
 		FreeMB:   e.freeMB(spec),
-		Idle:     e.ready(now) && e.loading == nil && e.unloading == nil && len(e.draining) == 0 && e.replacement == "",
+		Idle:     e.ready(now) && !e.calling && e.loading == nil && e.unloading == nil && len(e.draining) == 0 && e.replacement == "",
 		InMemory: toSet(e.report.Weights.InMemory),
 		OnDisk:   toSet(e.report.Weights.OnDisk),
 		Requests: c.Requests(e.target.ID),
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -41,6 +41,7 @@
 // engineSim simulates an engine that executes orders as the platform specifies.
 type engineSim struct {
 	target  *target.Target
+	hangs   bool
 	models  map[string]map[string]bool
 	orders  int64
 	busy    bool
@@ -107,6 +108,16 @@
 	f.reportDelay = d
 }
 
+// stopAnswers lets the reports of the engines that hold the model time out.
+func (f *fleetSim) stopAnswers(model string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		_, holds := e.models[model]
+		e.hangs = e.hangs || holds
+	}
+}
+
 func (f *fleetSim) reportsInProgress() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -145,18 +156,20 @@
 	return all
 }
 
-func (f *fleetSim) Report(_ context.Context, addr netip.AddrPort) (*target.Report, error) {
+func (f *fleetSim) Report(ctx context.Context, addr netip.AddrPort) (*target.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	if delay := f.reportDelay; delay > 0 {
 		f.reporting++
-		f.mu.Unlock()
-		<-f.clock.After(delay)
-		f.mu.Lock()
+		f.wait(ctx, delay)
 		f.reporting--
 	}
 	e := f.engines[addr]
+	if e.hangs {
+		f.wait(ctx, target.ReportTimeout)
+		return nil, context.DeadlineExceeded
+	}
 	r := &target.Report{Limit: f.limit, Born: 1, Orders: e.orders, Busy: e.busy}
 	for m, adapters := range e.models {
 		h := target.LoadedModel{Model: m}
@@ -181,6 +194,16 @@
 	return f.execute(f.engines[to.Address], o), nil
 }
 
+// wait unlocks f for the time d, or until ctx ends.
+func (f *fleetSim) wait(ctx context.Context, d time.Duration) {
+	f.mu.Unlock()
+	defer f.mu.Lock()
+	select {
+	case <-f.clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (f *fleetSim) after(d time.Duration, do func()) {
 	f.clock.AfterFunc(d, func() {
 		f.mu.Lock()
@@ -410,6 +433,26 @@
 		Eventually(done).Should(Receive(Not(BeEmpty())))
 	})
 
+	It("loads no model anew because an engine that holds it is reporting", func() {
+		fleet := newFleet(clock, 3, 1)
+		startVM(fleet, 1)
+		advance(15 * time.Second)
+		before := fleet.orderCount()
+		fleet.setReportDelay(400 * time.Millisecond)
+		advance(20 * time.Second)
+		Expect(fleet.orderCount()).To(Equal(before))
+	})
+
+	It("loads the models of an engine that does not answer on another", func() {
+		fleet := newFleet(clock, 3, 1)
+		startVM(fleet, 1)
+		advance(15 * time.Second)
+		Expect(fleet.replicas("m1")).To(Equal(1))
+		fleet.stopAnswers("m1")
+		advance(15 * time.Second)
+		Expect(fleet.replicas("m1")).To(Equal(2))
+	})
+
 	It("loads adapters, and unloads others when all slots are in use", func() {
 		fleet := newFleet(clock, 1, 1)
 		for _, e := range fleet.engines {
