Settle a changed member list at once, and show the settled version

Two specs of withdrawn keys were known red: the edit was not accepted for 60 s while a gateway was frozen or isolated.

Cause: gateways that start together join in any order. That a list of two needs both is the rule of majorities.

Change: a changed list is settled within 200 ms, and again after pauses that double up to 2 s. The dumps of gateways and controllers show the settled version, and the specs inject no fault before each process knows that the list is settled: the trace shows that the case before is allowed.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -233,16 +233,21 @@
 }
 
 func (c *Controller) status() any {
+	members := c.adoption.Members()
 	return struct {
-		Self     member.Member                   `json:"self"`
-		Revision int64                           `json:"revision"`
-		Members  []member.Member                 `json:"members"`
-		Shards   []shardplan.Status              `json:"shards"`
-		Engines  map[string]collector.LastReport `json:"engines"`
+		Self     member.Member `json:"self"`
+		Revision int64         `json:"revision"`
+		// MemberVersion is the version of the member list, SettledMemberVersion the one from
+		// which on an edit needs the majority of the gateways of each list.
+		MemberVersion        int64                           `json:"member_version"`
+		SettledMemberVersion int64                           `json:"settled_member_version"`
+		Members              []member.Member                 `json:"members"`
+		Shards               []shardplan.Status              `json:"shards"`
+		Engines              map[string]collector.LastReport `json:"engines"`
 		// ListedVMs is the number of VMs that have ever been in the platform's list.
 		ListedVMs int `json:"listed_vms"`
 	}{
-		c.membership.Self(), c.adoption.Current().Revision(), c.membership.All(),
+		c.membership.Self(), c.adoption.Current().Revision(), members.Version, members.Settled, c.membership.All(),
 		c.planner.Status(), c.collector.Reports(), c.vmWatcher.Listed(),
 	}
 }
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -23,7 +23,11 @@
 )
 
 const (
-	interval = 2 * time.Second
+	// minInterval and maxInterval bound the time between two attempts to settle the
+	// member list. It doubles while the list stays the same. Soon after a change, an edit
+	// may depend on every member of a short earlier list.
+	minInterval = 200 * time.Millisecond
+	maxInterval = 2 * time.Second
 	// listLag is the age below which a member is never removed, since the
 	// platform's list lags and may not contain its VM yet.
 	listLag = 2 * time.Minute
@@ -59,26 +63,58 @@
 // Run reconciles periodically until ctx is done. It must be called only once.
 func (r *Reconciler) Run(ctx context.Context) {
 	defer close(r.done)
-	ticker := r.config.Clock.NewTicker(interval)
+	ticker := r.config.Clock.NewTicker(minInterval)
 	defer ticker.Stop()
+	var settling schedule
+	var removeAt time.Time
 	for {
 		select {
 		case <-ticker.Chan():
 		case <-ctx.Done():
 			return
 		}
-		if !r.config.Owns() {
+		now := r.config.Clock.Now()
+		settle := settling.due(r.config.Adoption.Members().Version, now)
+		remove := !now.Before(removeAt)
+		if !(settle || remove) || !r.config.Owns() {
 			continue
 		}
-		if err := r.settle(ctx); err != nil && ctx.Err() == nil {
-			r.config.Logger.Warn("could not settle the member list", "error", err)
+		if settle {
+			if err := r.settle(ctx); err != nil && ctx.Err() == nil {
+				r.config.Logger.Warn("could not settle the member list", "error", err)
+			}
 		}
+		if !remove {
+			continue
+		}
+		removeAt = now.Add(maxInterval)
 		if err := r.removeMembersWithoutVM(ctx); err != nil && ctx.Err() == nil {
 			r.config.Logger.Warn("could not remove members without a VM", "error", err)
 		}
 	}
 }
 
+// schedule is that of the attempts to settle the member list.
+type schedule struct {
+	version  int64
+	last     time.Time
+	interval time.Duration
+}
+
+// due reports whether to attempt now to settle the given version of the list. Versions
+// that follow each other within minInterval are settled together.
+func (s *schedule) due(version int64, now time.Time) bool {
+	if version != s.version {
+		s.version, s.interval = version, minInterval
+	}
+	if now.Sub(s.last) < s.interval {
+		return false
+	}
+	s.last = now
+	s.interval = min(2*s.interval, maxInterval)
+	return true
+}
+
 // Done is closed when Run has returned.
 func (r *Reconciler) Done() <-chan struct{} { return r.done }
 
--- a/tests/config_test.go
+++ b/tests/config_test.go
@@ -144,11 +144,13 @@
 type nodeDump struct {
 	Revision      int64  `json:"revision"`
 	MemberVersion int64  `json:"member_version"`
+	Settled       int64  `json:"settled_member_version"`
 	Digest        string `json:"digest"`
 	Members       []struct {
 		Name        string `json:"name"`
 		Incarnation string `json:"incarnation"`
 		Role        string `json:"role"`
+		Joined      int64  `json:"joined"`
 	} `json:"members"`
 }
 
@@ -158,8 +160,9 @@
 	return d, json.Unmarshal([]byte(a.body), &d)
 }
 
-// waitForMembers waits until every process lists the given number of
-// gateways.
+// waitForMembers waits until every process lists the given number of gateways, and
+// knows their list to be settled: until then an edit needs the majority of each shorter
+// list too, so both gateways of a list of two.
 func (f *proxiedFleet) waitForMembers(ctx context.Context, gateways int) {
 	for _, n := range append(append([]*proxiedNode{}, f.gateways...), f.controllers...) {
 		Expect(fleet.Eventually(ctx, func() error {
@@ -169,8 +172,12 @@
 			}
 			count := 0
 			for _, m := range d.Members {
-				if m.Role == "gateway" {
-					count++
+				if m.Role != "gateway" {
+					continue
+				}
+				count++
+				if m.Joined > d.Settled {
+					return fmt.Errorf("%s knows version %d to be settled, %s joined in %d", n.Name, d.Settled, m.Name, m.Joined)
 				}
 			}
 			if count != gateways {
