Draw the random parts of choices from a source of the view

Cause: the choices drew from the global random source, one draw for each target in the order of a map, so no play could be repeated.

Change: a view has its own source, which a test can set. Each choice draws one seed, and the random part of a target comes from this seed and the target's ID, so that the order of the targets has no effect.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -121,15 +121,29 @@
 	limitVersion int64
 }
 
+// Option sets an optional property of a View.
+type Option func(*View)
+
+// WithRandom sets the source of the random parts of choices. The default one is seeded
+// at random.
+func WithRandom(random *rand.Rand) Option {
+	return func(v *View) { v.herding = newHerding(random) }
+}
+
 // New returns an empty view for a VM in a data centre.
-func New(dataCentre string) *View {
-	return &View{
+func New(dataCentre string, options ...Option) *View {
+	v := &View{
 		dataCentre: dataCentre,
 		targets:    make(map[string]*state),
 		changed:    make(chan struct{}),
 		paces:      make(map[string]*pace),
 		marks:      make(map[string]*mark),
+		herding:    newHerding(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
+	for _, o := range options {
+		o(v)
 	}
+	return v
 }
 
 // Set adds a target or replaces its row. It reports whether the target is new or
@@ -344,6 +358,7 @@
 	preferredID := preferred(r, eligible)
 	pace := v.paces[r.Pool.Name].factor()
 	spread := time.Duration(pace * float64(v.herding.spread(r.PromptTokens, len(eligible), now)))
+	choice := v.herding.random.Uint64()
 	for _, s := range eligible {
 		if until := v.distantUntil(s); now.Before(until) {
 			c.excludeUntil(until)
@@ -359,8 +374,9 @@
 		}
 		total := s.total()
 		c.Candidates++
+		v.herding.generator.Seed(choice, s.hash)
 		expected, cached := v.expected(s, &total, r, pace, s.target.ID == preferredID, now)
-		cost := wait + expected + time.Duration(s.failureRate(now)*float64(failureCost)) + disperse(spread)
+		cost := wait + expected + time.Duration(s.failureRate(now)*float64(failureCost)) + v.herding.disperse(spread)
 		if c.Target == nil || cost < best {
 			c.Target, c.Limit, c.CallWait, c.Expected, c.Cached = s.target, limit, wait, expected, cached
 			c.Probe, best = total.requests.total() == 0, cost
@@ -406,7 +422,7 @@
 		t += serviceTime * time.Duration(1+requests/max(1, s.target.Slots))
 		// Spreads the load among targets at the same distance.
 		t += time.Duration(requests) * time.Millisecond
-		t += time.Duration(rand.Int64N(int64(time.Millisecond)))
+		t += time.Duration(v.herding.byTarget.Int64N(int64(time.Millisecond)))
 		return t, 0
 	}
 	cached := s.prefixes.cached(r.Chain, r.ChainTokens)
--- a/internal/serving/fleetview/herd_test.go
+++ b/internal/serving/fleetview/herd_test.go
@@ -49,7 +49,7 @@
 		requests: make(map[string]int),
 	}
 	for range vms {
-		v := fleetview.New("a")
+		v := fleetview.New("a", fleetview.WithRandom(h.random))
 		for i := range engines {
 			id := fmt.Sprint("e", i)
 			v.Set(&target.Target{ID: id, Pool: "p", DataCentre: string(rune('a' + i%5)), Slots: 64, Weights: target.Weights{Models: []target.LoadedModel{{Model: "m"}}}})
--- a/internal/serving/fleetview/herding.go
+++ b/internal/serving/fleetview/herding.go
@@ -24,6 +24,12 @@
 
 // herding estimates the work that other VMs have sent and this one does not know of.
 type herding struct {
+	random *rand.Rand
+	// byTarget draws from generator, which is seeded for each choice and target: the
+	// order in which the targets are considered has no effect.
+	byTarget  *rand.Rand
+	generator *rand.PCG
+
 	choosers int
 	age      time.Duration
 	// rate is the rate of prompt tokens that this VM sends, as of updated.
@@ -31,6 +37,11 @@
 	updated time.Time
 }
 
+func newHerding(random *rand.Rand) herding {
+	g := &rand.PCG{}
+	return herding{random: random, byTarget: rand.New(g), generator: g}
+}
+
 // record counts prompt tokens that this VM sends and that must be prefilled.
 func (h *herding) record(tokens int, now time.Time) {
 	h.decay(now)
@@ -53,11 +64,11 @@
 }
 
 // mayProbe reports whether this VM may probe a target now: on average, one of all VMs may.
-func (h *herding) mayProbe() bool { return rand.IntN(max(1, h.choosers)) == 0 }
+func (h *herding) mayProbe() bool { return h.random.IntN(max(1, h.choosers)) == 0 }
 
 // disperse returns a random cost with a Gumbel distribution of the given scale. The
 // engine with the lowest sum of cost and random cost is then chosen with a probability
 // that falls exponentially with its cost.
-func disperse(scale time.Duration) time.Duration {
-	return time.Duration(float64(scale) * math.Log(rand.ExpFloat64()))
+func (h *herding) disperse(scale time.Duration) time.Duration {
+	return time.Duration(float64(scale) * math.Log(h.byTarget.ExpFloat64()))
 }
--- a/internal/serving/fleetview/state.go
+++ b/internal/serving/fleetview/state.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
 
@@ -36,6 +38,7 @@
 // state is the view of one target.
 type state struct {
 	target *target.Target
+	hash   uint64 // of the target's ID
 	// own is this VM's outstanding load, others that of all other VMs.
 	own, others load
 	prefixes    *prefixes
@@ -69,6 +72,7 @@
 func newState(t *target.Target) *state {
 	return &state{
 		target:   t,
+		hash:     xxhash.Sum64String(t.ID),
 		prefixes: newPrefixes(),
 		slowdown: 1,
 		absent:   make(map[string]time.Time),
