--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -76,7 +76,7 @@
 		now := r.config.Clock.Now()
 		settle := settling.due(r.config.Adoption.Members().Version, now)
 		remove := !now.Before(removeAt)
-		if !(settle || remove) || !r.config.Owns() {
+		if (!settle && !remove) || !r.config.Owns() {
 			continue
 		}
 		if settle {
