Keep reports and orders from engines that want no calls, and read their marks

Cause: only answers to requests were read. A report that an engine turned away with 503 and Retry-After was repeated every 1.5 s, and 150 ms while orders were under way, so the leader alone sent more than two calls in the time. Server-Leaving in the answer to a report or an order was lost.

Change: the adapter reads the marks of each answer in one place, the answers of reports and orders included, and one function records and logs them with their source. Reports, orders and adapter loads wait until the time is over.

--- a/internal/serving/enginecontrol/adapter.go
+++ b/internal/serving/enginecontrol/adapter.go
@@ -70,7 +70,7 @@
 }
 
 // chooseEngine returns the engine with the lowest adapterCost plus unfinished
-// requests; nil if no engine can take the adapter. It skips draining engines.
+// requests; nil if no engine can take the adapter. It skips draining engines, and those that want no calls.
 func (c *Controller) chooseEngine(pool *policy.Pool, model, key string) *engine {
 	now := c.Clock.Now()
 	c.mu.Lock()
@@ -79,7 +79,7 @@
 	var best *engine
 	var bestCost float64
 	for _, e := range engines {
-		if e.target.Pool != pool.Name || e.target.Draining {
+		if e.target.Pool != pool.Name || e.target.Draining || c.Distance(e.target) > 0 {
 			continue
 		}
 		e.mu.Lock()
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -53,8 +53,9 @@
 // Engines fetches reports from engines and sends them orders.
 // platform.TargetClient implements it.
 type Engines interface {
-	Report(ctx context.Context, addr netip.AddrPort) (*target.Report, error)
-	Order(ctx context.Context, to *target.Target, o *target.Order) (target.Outcome, error)
+	// Both return the marks of the answer, also of one that is an error.
+	Report(ctx context.Context, addr netip.AddrPort) (*target.Report, target.Marks, error)
+	Order(ctx context.Context, to *target.Target, o *target.Order) (target.Outcome, target.Marks, error)
 }
 
 // Config holds the dependencies of a Controller.
@@ -78,14 +79,17 @@
 	// overage times what the store's rate allows; zero values set no bound besides
 	// the rate.
 	LoadBound func() (window time.Duration, overage float64)
-	// Limit returns the limit of an engine, SetLimit records the one that an engine names
-	// in a report. Permit reserves one report or order to an engine with a limit, and
+	// Limit returns the limit of an engine, Distance the time for which it wants no call
+	// from this VM. Permit reserves one report or order to an engine with a limit, and
 	// returns the time until it may be sent; it may fail.
 	Limit    func(t *target.Target) target.Limit
-	SetLimit func(t *target.Target, l target.Limit)
+	Distance func(t *target.Target) time.Duration
 	Permit   func(ctx context.Context, t *target.Target) (wait time.Duration, ok bool)
-	Clock    clockwork.Clock
-	Logger   hclog.Logger
+	// Observe records what an engine says in its answer to a report or an order, which
+	// was sent at the time sent.
+	Observe func(t *target.Target, m *target.Marks, sent time.Time)
+	Clock   clockwork.Clock
+	Logger  hclog.Logger
 }
 
 // Controller sends orders to engines. It is safe for concurrent use.
@@ -284,8 +288,10 @@
 		e.silentSince = reportRequested
 	}
 	var r *target.Report
+	var marks target.Marks
 	var err error
-	e.call(func() { r, err = c.Engines.Report(ctx, e.target.Address) })
+	e.call(func() { r, marks, err = c.Engines.Report(ctx, e.target.Address) })
+	c.observe(e, &marks, reportRequested)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		e.silentSince = time.Time{}
 	}
@@ -297,9 +303,8 @@
 	if r.Born != e.target.Born {
 		return // wait until the target's row shows the new incarnation
 	}
-	if r.Limit.Named {
-		c.SetLimit(e.target, r.Limit)
-		c.Logger.Info("report of an engine with a limit", "engine", e.target.ID, "per_second", r.Limit.PerSecond,
+	if marks.Limit.Named {
+		c.Logger.Info("report of an engine with a limit", "engine", e.target.ID, "per_second", marks.Limit.PerSecond,
 			"since_last_ms", reportRequested.Sub(e.reportRequested).Milliseconds())
 	}
 	e.observe(r, reportRequested, c.Clock.Now())
@@ -319,8 +324,11 @@
 		return target.NotSent
 	}
 	var outcome target.Outcome
+	var marks target.Marks
 	var err error
-	e.call(func() { outcome, err = c.Engines.Order(ctx, e.target, &o) })
+	sent := c.Clock.Now()
+	e.call(func() { outcome, marks, err = c.Engines.Order(ctx, e.target, &o) })
+	c.observe(e, &marks, sent)
 	c.Logger.Info("order", "engine", e.target.ID, "operation", o.Operation.String(), "model", o.Model, "adapter", o.Adapter,
 		"expected", o.Expected, "fence", o.Fence, "outcome", outcome.String(), "report_age_ms", c.Clock.Since(e.reportRequested).Milliseconds(), "error", err)
 	switch outcome {
@@ -434,7 +442,7 @@
 		Models:   make(map[string]time.Time),
 		Serving:  make(map[string]bool),
 		FreeMB:   e.freeMB(spec),
-		Idle:     e.ready(now) && !e.calling && e.loading == nil && e.unloading == nil && len(e.draining) == 0 && e.replacement == "",
+		Idle:     e.ready(now) && !e.calling && c.Distance(e.target) <= 0 && e.loading == nil && e.unloading == nil && len(e.draining) == 0 && e.replacement == "",
 		InMemory: toSet(e.report.Weights.InMemory),
 		OnDisk:   toSet(e.report.Weights.OnDisk),
 		Requests: c.Requests(e.target.ID),
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -77,6 +77,10 @@
 	// reportDelay is the time that a report takes; reporting counts those in progress.
 	reportDelay time.Duration
 	reporting   int
+	// asks is the distance that the engines ask for, distantUntil the end of the time that
+	// the VMs have heard of.
+	asks         time.Duration
+	distantUntil time.Time
 }
 
 // permit is the Permit of the controllers.
@@ -102,6 +106,29 @@
 	return f.limit
 }
 
+// marksOf returns what all engines say in their answers. The caller holds f.mu.
+func (f *fleetSim) marksOf() target.Marks { return target.Marks{Limit: f.limit, Distance: f.asks} }
+
+// distance returns the time for which the engines want no call.
+func (f *fleetSim) distance() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.distantUntil.Sub(f.clock.Now())
+}
+
+func (f *fleetSim) observe(m *target.Marks) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.distantUntil = f.clock.Now().Add(m.Distance)
+}
+
+// askForDistance lets all engines ask for distance in their answers; zero ends that.
+func (f *fleetSim) askForDistance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asks = d
+}
+
 func (f *fleetSim) setReportDelay(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -156,7 +183,7 @@
 	return all
 }
 
-func (f *fleetSim) Report(ctx context.Context, addr netip.AddrPort) (*target.Report, error) {
+func (f *fleetSim) Report(ctx context.Context, addr netip.AddrPort) (*target.Report, target.Marks, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -168,9 +195,9 @@
 	e := f.engines[addr]
 	if e.hangs {
 		f.wait(ctx, target.ReportTimeout)
-		return nil, context.DeadlineExceeded
+		return nil, target.Marks{}, context.DeadlineExceeded
 	}
-	r := &target.Report{Limit: f.limit, Born: 1, Orders: e.orders, Busy: e.busy}
+	r := &target.Report{Born: 1, Orders: e.orders, Busy: e.busy}
 	for m, adapters := range e.models {
 		h := target.LoadedModel{Model: m}
 		for a := range adapters {
@@ -178,10 +205,10 @@
 		}
 		r.Weights.Models = append(r.Weights.Models, h)
 	}
-	return r, nil
+	return r, f.marksOf(), nil
 }
 
-func (f *fleetSim) Order(_ context.Context, to *target.Target, o *target.Order) (target.Outcome, error) {
+func (f *fleetSim) Order(_ context.Context, to *target.Target, o *target.Order) (target.Outcome, target.Marks, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -189,9 +216,9 @@
 	if f.rng.Float64() < f.lossRate {
 		delay := time.Duration(200+f.rng.IntN(3000)) * time.Millisecond
 		f.after(delay, func() { f.execute(f.engines[to.Address], o) })
-		return target.Unanswered, errors.New("no answer")
+		return target.Unanswered, target.Marks{}, errors.New("no answer")
 	}
-	return f.execute(f.engines[to.Address], o), nil
+	return f.execute(f.engines[to.Address], o), f.marksOf(), nil
 }
 
 // wait unlocks f for the time d, or until ctx ends.
@@ -339,7 +366,8 @@
 				v.held[id] = held
 			},
 			Limit:     func(*target.Target) target.Limit { return fleet.currentLimit() },
-			SetLimit:  func(*target.Target, target.Limit) {},
+			Distance:  func(*target.Target) time.Duration { return fleet.distance() },
+			Observe:   func(_ *target.Target, m *target.Marks, _ time.Time) { fleet.observe(m) },
 			Permit:    func(context.Context, *target.Target) (time.Duration, bool) { return fleet.permit() },
 			LoadBound: func() (time.Duration, float64) { return 5 * time.Second, 1.1 },
 			Clock:     clock, Logger: hclog.NewNullLogger(),
@@ -416,6 +444,28 @@
 		Expect(calls).To(BeNumerically("<=", 1), "one call may have been permitted before")
 	})
 
+	// Guards against reports and orders to an engine that wants no calls (BUDGET).
+	It("makes no call to an engine for as long as it wants none", func() {
+		fleet := newFleet(clock, 1, 1)
+		v := startVM(fleet, 1)
+		advance(12 * time.Second)
+		fleet.askForDistance(10 * time.Second)
+		for fleet.distance() <= 0 {
+			advance(25 * time.Millisecond)
+		}
+		fleet.askForDistance(0)
+		fleet.counts()
+		v.setDemand("m3")
+		advance(5 * time.Second)
+		Expect(v.controller.LoadAdapter(context.Background(), "engines", "m1", "a1")).To(BeEmpty())
+		advance(4 * time.Second)
+		calls, _ := fleet.counts()
+		Expect(calls).To(BeZero())
+		advance(6 * time.Second)
+		calls, _ = fleet.counts()
+		Expect(calls).To(BeNumerically(">", 0), "after that time")
+	})
+
 	It("loads an adapter although the only engine with its model is reporting", func() {
 		fleet := newFleet(clock, 1, 1)
 		for _, e := range fleet.engines {
--- a/internal/serving/enginecontrol/permit.go
+++ b/internal/serving/enginecontrol/permit.go
@@ -3,15 +3,21 @@
 import (
 	"context"
 	"time"
+
+	"fireflypier.example/fireflypier/internal/serving/target"
 )
 
 // maxAdapterWait is the longest time for which an adapter load waits until the limit of
 // its engine allows the order: requests wait for it.
 const maxAdapterWait = 300 * time.Millisecond
 
-// permitted reports whether a call may be made to the engine now. If its limit does not
-// allow that yet, e.permit is the time from which on to ask again.
+// permitted reports whether a call may be made to the engine now. If the engine wants none,
+// or its limit does not allow it yet, e.permit is the time from which on to ask again.
 func (c *Controller) permitted(ctx context.Context, e *engine) bool {
+	if wait := c.Distance(e.target); wait > 0 {
+		e.permit, e.reserved = c.Clock.Now().Add(wait), false
+		return false
+	}
 	if !c.Limit(e.target).Named {
 		e.permit, e.reserved = time.Time{}, false
 		return true
@@ -52,6 +58,13 @@
 	e.reserved, e.permit = ok, c.Clock.Now().Add(wait)
 }
 
+// observe records what the engine says in an answer about further calls, if anything.
+func (c *Controller) observe(e *engine, m *target.Marks, sent time.Time) {
+	if *m != (target.Marks{}) {
+		c.Observe(e.target, m, sent)
+	}
+}
+
 // sleep returns after d or when ctx ends.
 func (c *Controller) sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -92,13 +92,7 @@
 	Misdirected bool
 	// Signed is set if the answer has the target's signature.
 	Signed bool
-	// Leaving is set if the target says that it leaves and takes no more requests.
-	Leaving bool
-	// Distance is the time for which the target wants no request from this VM; zero if
-	// it does not ask for any.
-	Distance time.Duration
-	// Limit is the limit that the target names.
-	Limit target.Limit
+	target.Marks
 }
 
 // Handler answers r on w, or returns the failure that the caller gets. hr is the
--- a/internal/serving/fleetview/marks.go
+++ b/internal/serving/fleetview/marks.go
@@ -81,6 +81,17 @@
 	return s != nil && s.target.Born == born && !s.target.Draining && !v.leaving(s) && !now.Before(v.distantUntil(s))
 }
 
+// Distance returns the time for which an incarnation of a target wants no call from this
+// VM; zero or less if it takes calls.
+func (v *View) Distance(id string, born int64, now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m := v.knownMark(id, born); m != nil {
+		return max(0, m.distantUntil.Sub(now))
+	}
+	return 0
+}
+
 // leaving reports whether the target has said that it leaves. The caller holds v.mu.
 func (v *View) leaving(s *state) bool {
 	m := v.knownMark(s.target.ID, s.target.Born)
--- a/internal/serving/forward/observe.go
+++ b/internal/serving/forward/observe.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hashicorp/go-hclog"
+
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/target"
@@ -55,21 +57,22 @@
 	}
 }
 
-// observeMarks records what a target says in its answer about further requests; sent is
-// when the request was sent.
-func (j *job) observeMarks(t *target.Target, answer *exchange.Answer, sent time.Time) {
-	now := j.f.Clock.Now()
-	if j.f.View.SetLimit(t.ID, t.Born, answer.Limit, sent, now) {
-		j.f.Metrics.countMark(markLimit)
-		j.log(now).Info("target has another limit", "target", t.ID, "born", t.Born, "named", answer.Limit.Named, "per_second", answer.Limit.PerSecond)
+// ObserveMarks records what a target says in an answer about further calls; sent is when
+// its call was sent. The logger that log returns gets a line for each change, with the
+// source of the answer.
+func (f *Forwarder) ObserveMarks(t *target.Target, m *target.Marks, sent time.Time, source string, log func(now time.Time) hclog.Logger) {
+	now := f.Clock.Now()
+	if f.View.SetLimit(t.ID, t.Born, m.Limit, sent, now) {
+		f.Metrics.countMark(markLimit)
+		log(now).Info("target has another limit", "target", t.ID, "born", t.Born, "named", m.Limit.Named, "per_second", m.Limit.PerSecond, "source", source)
 	}
-	if answer.Leaving && j.f.View.SetLeaving(t.ID, t.Born, now) {
-		j.f.Metrics.countMark(markLeaving)
-		j.log(now).Info("target leaves", "target", t.ID, "born", t.Born, "source", "answer")
+	if m.Leaving && f.View.SetLeaving(t.ID, t.Born, now) {
+		f.Metrics.countMark(markLeaving)
+		log(now).Info("target leaves", "target", t.ID, "born", t.Born, "source", source)
 	}
-	if answer.Distance > 0 {
-		until := j.f.View.SetDistance(t.ID, t.Born, answer.Distance, now)
-		j.f.Metrics.countMark(markDistance)
-		j.log(now).Info("target wants no requests for a while", "target", t.ID, "asked_ms", answer.Distance.Milliseconds(), "kept_ms", until.Sub(now).Milliseconds())
+	if m.Distance > 0 {
+		until := f.View.SetDistance(t.ID, t.Born, m.Distance, now)
+		f.Metrics.countMark(markDistance)
+		log(now).Info("target wants no requests for a while", "target", t.ID, "source", source, "asked_ms", m.Distance.Milliseconds(), "kept_ms", until.Sub(now).Milliseconds())
 	}
 }
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -176,7 +176,8 @@
 		Requests: n.view.Requests,
 		Held:     n.setInventory,
 		Limit:    func(t *target.Target) target.Limit { return n.view.Limit(t.ID, t.Born) },
-		SetLimit: n.setEngineLimit,
+		Distance: func(t *target.Target) time.Duration { return n.view.Distance(t.ID, t.Born, n.clock.Now()) },
+		Observe:  n.observeEngine,
 		Permit:   n.permitCall,
 		LoadBound: func() (time.Duration, float64) {
 			b := n.bounds.Load()
--- a/internal/serving/node/reserve.go
+++ b/internal/serving/node/reserve.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/target"
 	"fireflypier.example/fireflypier/internal/serving/targetlimit"
@@ -78,12 +80,9 @@
 	return reachable
 }
 
-// setEngineLimit implements enginecontrol.Config.SetLimit.
-func (n *Node) setEngineLimit(t *target.Target, l target.Limit) {
-	now := n.clock.Now()
-	if n.view.SetLimit(t.ID, t.Born, l, now, now) {
-		n.Logger.Info("target has another limit", "target", t.ID, "born", t.Born, "named", l.Named, "per_second", l.PerSecond, "source", "report")
-	}
+// observeEngine implements enginecontrol.Config.Observe.
+func (n *Node) observeEngine(t *target.Target, m *target.Marks, sent time.Time) {
+	n.forward.ObserveMarks(t, m, sent, "report", func(time.Time) hclog.Logger { return n.Logger })
 }
 
 // permitCall implements enginecontrol.Config.Permit.
--- a/internal/serving/target/target.go
+++ b/internal/serving/target/target.go
@@ -84,7 +84,16 @@
 	Weights Weights
 	// LoadingAdapters lists the adapters that are being loaded, by model.
 	LoadingAdapters map[string][]string
-	// Limit is the limit that the engine names.
+}
+
+// Marks is what a target says in an answer about further calls.
+type Marks struct {
+	// Leaving is set if the target says that it leaves and takes no more requests.
+	Leaving bool
+	// Distance is the time for which the target wants no call from this VM; zero if it
+	// does not ask for any.
+	Distance time.Duration
+	// Limit is the limit that the target names.
 	Limit Limit
 }
 
