Come back gradually to targets that wanted no requests

Change: choosing it costs up to 900 ms, falling to nothing within two seconds. If it is the only one with the model, callers that were refused come back spread anyway.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -376,7 +376,7 @@
 		c.Candidates++
 		v.herding.generator.Seed(choice, s.hash)
 		expected, cached := v.expected(s, &total, r, pace, s.target.ID == preferredID, now)
-		cost := wait + expected + time.Duration(s.failureRate(now)*float64(failureCost)) + v.herding.disperse(spread)
+		cost := wait + expected + v.returnPenalty(s, now) + time.Duration(s.failureRate(now)*float64(failureCost)) + v.herding.disperse(spread)
 		if c.Target == nil || cost < best {
 			c.Target, c.Limit, c.CallWait, c.Expected, c.Cached = s.target, limit, wait, expected, cached
 			c.Probe, best = total.requests.total() == 0, cost
--- a/internal/serving/fleetview/marks.go
+++ b/internal/serving/fleetview/marks.go
@@ -8,6 +8,10 @@
 	// markRetention is how long a mark outlives its target's row, so that an older row
 	// that arrives late does not bring the target back.
 	markRetention = 10 * time.Minute
+	// returnTime is the time after a distance in which this VM comes back to the target
+	// gradually, returnCost the cost of choosing the target at its beginning.
+	returnTime = 2 * time.Second
+	returnCost = 900 * time.Millisecond
 )
 
 // mark is what a target has said in its answers about further requests. It holds for one
@@ -107,6 +111,14 @@
 	return time.Time{}
 }
 
+// returnPenalty returns the cost of choosing a target that has wanted no requests until a
+// short time ago. It keeps all that the VMs hold back from coming at once. The caller holds
+// v.mu.
+func (v *View) returnPenalty(s *state, now time.Time) time.Duration {
+	left := returnTime - now.Sub(v.distantUntil(s))
+	return time.Duration(float64(returnCost) * float64(max(0, left)) / float64(returnTime))
+}
+
 // knownMark returns the mark of an incarnation, or nil if it has said nothing. The caller
 // holds v.mu.
 func (v *View) knownMark(id string, born int64) *mark {
--- a/internal/serving/fleetview/marks_test.go
+++ b/internal/serving/fleetview/marks_test.go
@@ -1,6 +1,7 @@
 package fleetview_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fireflypier.example/fireflypier/internal/serving/fleetview"
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/policy"
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
@@ -64,6 +66,38 @@
 	})
 }
 
+// TestReturnIsGradual guards against VMs that come back to a target all at once when the
+// time is over for which it wanted no requests.
+func TestReturnIsGradual(t *testing.T) {
+	g := NewWithT(t)
+	end := time.Unix(1010, 0)
+	pool := &policy.Pool{Name: "p", Engine: &policy.Engine{Slots: 64, KVTokens: 200_000}}
+	r := &fleetview.Requirements{Pool: pool, Model: "m", PromptTokens: 4000, AnswerTokens: 60}
+	// share returns the share of 300 VMs that choose the target at a time, while the other
+	// target has work for them.
+	share := func(after time.Duration) float64 {
+		back := 0
+		for vm := range uint64(300) {
+			v := fleetview.New("a", fleetview.WithRandom(rand.New(rand.NewPCG(vm, 1))))
+			for _, id := range []string{"back", "busy"} {
+				v.Set(&target.Target{ID: id, Born: 1, Pool: "p", DataCentre: "a", Slots: 64, Weights: target.Weights{Models: []target.LoadedModel{{Model: "m"}}}})
+			}
+			v.SetFleet(300, 200*time.Millisecond)
+			v.SetOtherLoads([]*meshpb.Load{{Target: "busy", Requests: []uint32{4}, PromptTokens: []uint32{16_000}, KvTokens: []uint32{16_000}}})
+			v.SetDistance("back", 1, 10*time.Second, end.Add(-10*time.Second))
+			if v.Choose(r, end.Add(after)).Target.ID == "back" {
+				back++
+			}
+		}
+		return float64(back) / 300
+	}
+	g.Expect(share(-time.Millisecond)).To(BeZero())
+	early, later, late := share(10*time.Millisecond), share(time.Second), share(3*time.Second)
+	g.Expect(early).To(BeNumerically("<", 0.1))
+	g.Expect(later).To(BeNumerically(">", early))
+	g.Expect(late).To(BeNumerically(">", 0.9))
+}
+
 // TestLeavingTargetDrains has the placement treat a target that leaves as draining.
 func TestLeavingTargetDrains(t *testing.T) {
 	g := NewWithT(t)
