Place models in demand elsewhere while their engine wants no calls

Change: for as long as the engine wants no calls of the leader, its replicas count like those of an engine with a limit: they keep a model reachable and serve little.

Measured: the new spec of enginecontrol has one replica 5 s later before, two now.

--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -446,7 +446,7 @@
 		InMemory: toSet(e.report.Weights.InMemory),
 		OnDisk:   toSet(e.report.Weights.OnDisk),
 		Requests: c.Requests(e.target.ID),
-		Limited:  c.Limit(e.target).Named,
+		Limited:  c.Limit(e.target).Named || c.Distance(e.target) > 0,
 	}
 	for i := range e.report.Weights.Models {
 		m := e.report.Weights.Models[i].Model
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -78,9 +78,9 @@
 	reportDelay time.Duration
 	reporting   int
 	// asks is the distance that the engines ask for, distantUntil the end of the time that
-	// the VMs have heard of.
+	// the VMs have heard of, by engine.
 	asks         time.Duration
-	distantUntil time.Time
+	distantUntil map[string]time.Time
 }
 
 // permit is the Permit of the controllers.
@@ -109,17 +109,28 @@
 // marksOf returns what all engines say in their answers. The caller holds f.mu.
 func (f *fleetSim) marksOf() target.Marks { return target.Marks{Limit: f.limit, Distance: f.asks} }
 
-// distance returns the time for which the engines want no call.
-func (f *fleetSim) distance() time.Duration {
+// distance returns the time for which an engine wants no call.
+func (f *fleetSim) distance(id string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.distantUntil.Sub(f.clock.Now())
+	return f.distantUntil[id].Sub(f.clock.Now())
 }
 
-func (f *fleetSim) observe(m *target.Marks) {
+func (f *fleetSim) observe(t *target.Target, m *target.Marks, _ time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.distantUntil = f.clock.Now().Add(m.Distance)
+	f.distantUntil[t.ID] = f.clock.Now().Add(m.Distance)
+}
+
+// keepAway lets the engines that hold the model want no call for d.
+func (f *fleetSim) keepAway(model string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		if _, holds := e.models[model]; holds {
+			f.distantUntil[e.target.ID] = f.clock.Now().Add(d)
+		}
+	}
 }
 
 // askForDistance lets all engines ask for distance in their answers; zero ends that.
@@ -161,7 +172,7 @@
 }
 
 func newFleet(clock clockwork.Clock, n int, seed uint64) *fleetSim {
-	f := &fleetSim{clock: clock, engines: make(map[netip.AddrPort]*engineSim), rng: rand.New(rand.NewPCG(seed, 1))}
+	f := &fleetSim{clock: clock, engines: make(map[netip.AddrPort]*engineSim), distantUntil: make(map[string]time.Time), rng: rand.New(rand.NewPCG(seed, 1))}
 	for i := range n {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
 		e := &engineSim{
@@ -326,10 +337,13 @@
 }
 
 // setDemand replaces the demand by a high demand for one model.
-func (v *vmSim) setDemand(model string) {
+func (v *vmSim) setDemand(model string) { v.setTokens(model, 100_000) }
+
+// setTokens replaces the demand by that for a number of tokens a second of one model.
+func (v *vmSim) setTokens(model string, perSecond float64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.demand = map[weightsdemand.Key]weightsdemand.Level{{Pool: "engines", Model: model}: {TokensPerSecond: 100_000}}
+	v.demand = map[weightsdemand.Key]weightsdemand.Level{{Pool: "engines", Model: model}: {TokensPerSecond: perSecond}}
 }
 
 var _ = Describe("an engine controller", func() {
@@ -366,8 +380,8 @@
 				v.held[id] = held
 			},
 			Limit:     func(*target.Target) target.Limit { return fleet.currentLimit() },
-			Distance:  func(*target.Target) time.Duration { return fleet.distance() },
-			Observe:   func(_ *target.Target, m *target.Marks, _ time.Time) { fleet.observe(m) },
+			Distance:  func(t *target.Target) time.Duration { return fleet.distance(t.ID) },
+			Observe:   fleet.observe,
 			Permit:    func(context.Context, *target.Target) (time.Duration, bool) { return fleet.permit() },
 			LoadBound: func() (time.Duration, float64) { return 5 * time.Second, 1.1 },
 			Clock:     clock, Logger: hclog.NewNullLogger(),
@@ -450,7 +464,7 @@
 		v := startVM(fleet, 1)
 		advance(12 * time.Second)
 		fleet.askForDistance(10 * time.Second)
-		for fleet.distance() <= 0 {
+		for fleet.distance("10.0.0.1:80") <= 0 {
 			advance(25 * time.Millisecond)
 		}
 		fleet.askForDistance(0)
@@ -466,6 +480,18 @@
 		Expect(calls).To(BeNumerically(">", 0), "after that time")
 	})
 
+	It("loads a model in demand on another engine while its engine wants no calls", func() {
+		fleet := newFleet(clock, 3, 1)
+		v := startVM(fleet, 1)
+		advance(15 * time.Second)
+		v.setTokens("m1", 1)
+		advance(5 * time.Second)
+		Expect(fleet.replicas("m1")).To(Equal(1), "enough for the demand")
+		fleet.keepAway("m1", 20*time.Second)
+		advance(5 * time.Second)
+		Expect(fleet.replicas("m1")).To(Equal(2))
+	})
+
 	It("loads an adapter although the only engine with its model is reporting", func() {
 		fleet := newFleet(clock, 1, 1)
 		for _, e := range fleet.engines {
--- a/internal/serving/modelplacement/modelplacement.go
+++ b/internal/serving/modelplacement/modelplacement.go
@@ -60,8 +60,8 @@
 	InMemory, OnDisk map[string]bool
 	// Requests is the number of unfinished requests.
 	Requests int
-	// Limited is set if the engine takes only few requests a second. Its replicas keep
-	// models reachable and serve little of the demand.
+	// Limited is set if the engine takes only few requests a second, or none for a while.
+	// Its replicas keep models reachable and serve little of the demand.
 	Limited bool
 }
 
