Count the unmet demand of a request once

Cause: a request that has waited for weights counts as unmet demand when the wait begins; if the weights then came to an engine whose limit is used up, it counted again, so that the placement saw twice the demand.

Measured: the new spec counts 2 before, 1 now.

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		if c.Candidates == 0 && !c.Returns.IsZero() {
-			if j.sends == 0 && j.pool.Engine != nil {
+			if j.sends == 0 && j.missingSince.IsZero() && j.pool.Engine != nil {
 				f.Placer.RecordDemand(j.pool.Name, j.r.Model, j.r.Adapter, j.r.Tokens(), true)
 			}
 			return c, j.refuse(now, &c, spread(c.Returns.Sub(now)))
--- a/internal/serving/forward/reserve_test.go
+++ b/internal/serving/forward/reserve_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
 
@@ -73,6 +74,20 @@
 		Expect(x.sender.attempts[0].Target.ID).NotTo(Equal(reserved[0]))
 	})
 
+	It("counts once as unmet demand if it has waited for weights that come to an engine with its limit used up", func() {
+		x.view.SetLimit("e3", 0, limit, time.Now(), time.Now())
+		x.view.SetInventory("e3", 0, nil, []target.ComingModel{{Model: "new", Remaining: 100 * time.Millisecond}}, time.Now())
+		go func() {
+			defer GinkgoRecover()
+			time.Sleep(50 * time.Millisecond)
+			x.view.SetNextCall("e3", 0, time.Now().Add(10*time.Second))
+			x.view.SetInventory("e3", 0, []target.LoadedModel{{Model: "new"}}, nil, time.Now())
+		}()
+		_, _, err := x.serve("/draft/1", func(r *exchange.Request) { r.Model = "new" })
+		Expect(failure.From(err).Kind).To(Equal(failure.NoReplica))
+		Expect(x.placer.waiting).To(Equal(1))
+	})
+
 	It("is sent to a target without a limit if lenders do not answer", func() {
 		x.view.Set(&target.Target{ID: "p3", Pool: "plain", Slots: 6})
 		x.reserve = func(*target.Target, target.Limit, time.Duration) (time.Duration, bool, error) {
