Show operators which targets want no requests, and refusals for it

A refusal because all engines keep requests away counted as targets_unavailable, and no metric told how many engines do.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -89,6 +89,8 @@
 	// Returns is the earliest time at which a target that wants no request now, or whose
 	// limit allows none, takes requests again; zero if there is no such target.
 	Returns time.Time
+	// Waiting counts such targets.
+	Waiting int
 	// Limit is the limit of Target, CallWait the time until it may allow the request.
 	Limit    target.Limit
 	CallWait time.Duration
@@ -96,6 +98,7 @@
 
 // excludeUntil records that a target takes no request before a time.
 func (c *Choice) excludeUntil(t time.Time) {
+	c.Waiting++
 	if c.Returns.IsZero() || t.Before(c.Returns) {
 		c.Returns = t
 	}
--- a/internal/serving/fleetview/marks.go
+++ b/internal/serving/fleetview/marks.go
@@ -54,6 +54,29 @@
 	return m.distantUntil
 }
 
+// Marked returns the numbers of targets that have said that they leave, that want no calls
+// from this VM, and that have a limit.
+func (v *View) Marked(now time.Time) (leaving, distant, limited int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.targets {
+		m := v.knownMark(s.target.ID, s.target.Born)
+		if m == nil {
+			continue
+		}
+		if m.leaving {
+			leaving++
+		}
+		if now.Before(m.distantUntil) {
+			distant++
+		}
+		if m.limit.current.Named {
+			limited++
+		}
+	}
+	return leaving, distant, limited
+}
+
 // markOf returns the mark of an incarnation, which it creates if there is none, and nil if
 // a later incarnation is known. The caller holds v.mu.
 func (v *View) markOf(id string, born int64, now time.Time) *mark {
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -234,7 +234,7 @@
 func (j *job) refuse(now time.Time, c *fleetview.Choice, after time.Duration) error {
 	j.f.Metrics.countRejection(j.rejectionReason(c))
 	j.log(now).Info("no target for the request", "model", j.r.Model, "adapter", j.r.Adapter,
-		"in_pool", c.InPool, "with_model", c.WithModel, "candidates", c.Candidates, "tried", len(j.want.Exclude), "retry_after_ms", after.Milliseconds())
+		"in_pool", c.InPool, "with_model", c.WithModel, "candidates", c.Candidates, "waiting", c.Waiting, "tried", len(j.want.Exclude), "retry_after_ms", after.Milliseconds())
 	e := failure.New(failure.NoReplica, "no target can serve the request now")
 	e.RetryAfter = after
 	return e
@@ -242,6 +242,9 @@
 
 // rejectionReason returns the metric label for a request that finds no target.
 func (j *job) rejectionReason(c *fleetview.Choice) string {
+	if c.Candidates == 0 && c.Waiting > 0 {
+		return rejectMarked
+	}
 	if j.pool.Engine == nil {
 		return rejectNotAvailable
 	}
--- a/internal/serving/forward/fixture_test.go
+++ b/internal/serving/forward/fixture_test.go
@@ -29,7 +29,9 @@
 	view   *fleetview.View
 	sender *scriptedSender
 	placer *fakePlacer
-	f      *forward.Forwarder
+	// registry has the metrics.
+	registry *prometheus.Registry
+	f        *forward.Forwarder
 	// lender charges requests; it cannot be reached while it is nil.
 	lender func(customer string, cost float64) (bool, time.Duration)
 	// reserve reserves calls to targets with limits.
@@ -63,6 +65,7 @@
 	}
 	x.sender = &scriptedSender{}
 	x.placer = &fakePlacer{view: x.view}
+	x.registry = prometheus.NewRegistry()
 	clock := clockwork.NewRealClock()
 	x.lender = func(customer string, cost float64) (bool, time.Duration) { return x.f.Lend(customer, cost) }
 	x.f = forward.New(forward.Config{
@@ -84,13 +87,27 @@
 		Quarantine: quarantine.New(func() bool { return false }, hclog.NewNullLogger()),
 		Retries:    retrybudget.New(retrybudget.Bound{Ratio: 0.2, Window: time.Second, Slack: 100}),
 		VMs:        func() int { return 1 },
-		Metrics:    forward.NewMetrics(prometheus.NewRegistry()),
+		Metrics:    forward.NewMetrics(x.registry, x.view, clock),
 		Clock:      clock,
 		Logger:     hclog.NewNullLogger(),
 	})
 	return x
 }
 
+// metric returns the value of a counter or gauge with one label of the given value.
+func (x *fixture) metric(name, label string) float64 {
+	families, err := x.registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name && m.GetLabel()[0].GetValue() == label {
+				return m.GetCounter().GetValue() + m.GetGauge().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
 // serve handles one request; aborted is set if the answer was aborted after its header.
 func (x *fixture) serve(path string, change ...func(*exchange.Request)) (w *httptest.ResponseRecorder, aborted bool, err error) {
 	r := &exchange.Request{ID: "1", Method: http.MethodPost, HostName: "h", Path: path, URI: path, Key: "key", Arrival: time.Now()}
--- a/internal/serving/forward/metrics.go
+++ b/internal/serving/forward/metrics.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"fireflypier.example/fireflypier/internal/serving/fleetview"
 )
 
 // Metrics counts requests and sends and measures durations.
@@ -23,8 +26,9 @@
 // the configured routes.
 var latencyBuckets = []float64{0.01, 0.05, 0.15, 0.4, 0.8, 1.5, 3, 6, 15}
 
-// NewMetrics registers the metrics. It panics if the registry already has them.
-func NewMetrics(registry prometheus.Registerer) *Metrics {
+// NewMetrics registers the metrics, those of the marks of targets in view included. It
+// panics if the registry already has them.
+func NewMetrics(registry prometheus.Registerer, view *fleetview.View, clock clockwork.Clock) *Metrics {
 	m := &Metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fireflypier_serving_requests_total",
@@ -61,6 +65,18 @@
 			Buckets: latencyBuckets,
 		}),
 	}
+	marked := func(mark string, count func() int) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "fireflypier_serving_marked_targets",
+			Help:        "Targets that have said that they leave, want no requests for a while or have a limit.",
+			ConstLabels: prometheus.Labels{"mark": mark},
+		}, func() float64 { return float64(count()) })
+	}
+	registry.MustRegister(
+		marked(markLeaving, func() int { n, _, _ := view.Marked(clock.Now()); return n }),
+		marked(markDistance, func() int { _, n, _ := view.Marked(clock.Now()); return n }),
+		marked(markLimit, func() int { _, _, n := view.Marked(clock.Now()); return n }),
+	)
 	registry.MustRegister(m.requests, m.duration, m.sends, m.charges, m.rejected, m.marks, m.reserved, m.waits)
 	return m
 }
@@ -83,6 +99,7 @@
 	rejectNoModel      = "no_engine_with_model"
 	rejectNoAdapter    = "no_engine_with_adapter"
 	rejectNotAvailable = "targets_unavailable"
+	rejectMarked       = "targets_want_none"
 	rejectBusy         = "targets_busy"
 	rejectQuarantined  = "prompt_quarantined"
 	rejectLeaving      = "leaving"
--- a/internal/serving/forward/reserve_test.go
+++ b/internal/serving/forward/reserve_test.go
@@ -88,6 +88,19 @@
 		Expect(x.placer.waiting).To(Equal(1))
 	})
 
+	It("shows operators the targets that want no requests, and the requests refused for it", func() {
+		now := time.Now()
+		for _, id := range []string{"p1", "p2"} {
+			x.view.SetDistance(id, 0, 5*time.Second, now)
+		}
+		_, _, err := x.serve("/look/1")
+		Expect(failure.From(err).Kind).To(Equal(failure.NoReplica))
+		Expect(x.metric("fireflypier_serving_rejections_total", "targets_want_none")).To(Equal(1.0))
+		Expect(x.metric("fireflypier_serving_marked_targets", "distance")).To(Equal(2.0))
+		Expect(x.metric("fireflypier_serving_marked_targets", "limit")).To(Equal(2.0))
+		Expect(x.metric("fireflypier_serving_marked_targets", "leaving")).To(BeZero())
+	})
+
 	It("is sent to a target without a limit if lenders do not answer", func() {
 		x.view.Set(&target.Target{ID: "p3", Pool: "plain", Slots: 6})
 		x.reserve = func(*target.Target, target.Limit, time.Duration) (time.Duration, bool, error) {
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -198,7 +198,7 @@
 		Reserve:    n.reserve,
 		Retries:    retrybudget.New(retryBound(&s.Bounds)),
 		VMs:        func() int { return 1 + n.mesh.Size() },
-		Metrics:    forward.NewMetrics(n.registry),
+		Metrics:    forward.NewMetrics(n.registry, n.view, n.clock),
 		Clock:      n.clock,
 		Logger:     config.Logger,
 	})
