Tell peers which targets have said that they leave

Others went on sending until the target's row said so, which a VM that the store turns away may not see in time.

Change: the digests pass on marks that have changed, the departures of targets as well as their limits; each VM relays what is new to it. The time for which a target wants no calls is that of one VM and isn't passed on. The log line names the source.

The departure also reaches a VM by way of one that has no row of the target, and ends with the incarnation.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -119,9 +119,9 @@
 	herding  herding
 	// paces are by pool.
 	paces map[string]*pace
-	// marks are by target; limitVersion is the number of changes of limits in them.
-	marks        map[string]*mark
-	limitVersion int64
+	// marks are by target; markVersion is the number of their changes.
+	marks       map[string]*mark
+	markVersion int64
 }
 
 // Option sets an optional property of a View.
--- a/internal/serving/fleetview/limits.go
+++ b/internal/serving/fleetview/limits.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
 
@@ -17,8 +16,6 @@
 	// at is the time of the latest answer, to this VM or another, ownAt that of the
 	// latest one to this VM.
 	at, ownAt time.Time
-	// version is the number of the last change, for peers.
-	version int64
 	// nextCall is the earliest time at which the lender may allow a call, as far as this
 	// VM knows.
 	nextCall time.Time
@@ -31,7 +28,7 @@
 func (v *View) SetLimit(id string, born int64, l target.Limit, sent, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if known := v.marks[id]; !l.Named && (known == nil || known.limit.version == 0) {
+	if known := v.marks[id]; !l.Named && (known == nil || known.limit.at.IsZero()) {
 		return false
 	}
 	m := v.markOf(id, born, now)
@@ -39,55 +36,20 @@
 		return false
 	}
 	m.limit.ownAt = now
-	return v.updateLimit(&m.limit, l, now)
-}
-
-// MergeLimits records the limits that a peer has passed on.
-func (v *View) MergeLimits(limits []*meshpb.Limit, now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, w := range limits {
-		m := v.markOf(w.GetTarget(), w.GetBorn(), now)
-		if m == nil {
-			continue
-		}
-		at := now.Add(-time.Duration(max(0, w.GetAgeMs())) * time.Millisecond)
-		if at.After(m.limit.at) && now.Sub(m.limit.ownAt) > ownLimitTTL {
-			v.updateLimit(&m.limit, target.Limit{Named: w.GetNamed(), PerSecond: w.GetPerSecond()}, at)
-		}
-	}
+	return v.updateLimit(m, l, now)
 }
 
 // updateLimit sets a limit and reports whether it has changed. The caller holds v.mu.
-func (v *View) updateLimit(m *limitMark, l target.Limit, at time.Time) bool {
-	m.at = at
-	if m.current == l {
+func (v *View) updateLimit(m *mark, l target.Limit, at time.Time) bool {
+	m.limit.at = at
+	if m.limit.current == l {
 		return false
 	}
-	m.current = l
-	v.limitVersion++
-	m.version = v.limitVersion
+	m.limit.current = l
+	v.changeMark(m)
 	return true
 }
 
-// LimitsAfter returns the limits that have changed after a version, and the newest version.
-func (v *View) LimitsAfter(seen int64, now time.Time) (limits []*meshpb.Limit, upto int64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.limitVersion <= seen {
-		return nil, v.limitVersion
-	}
-	for id, m := range v.marks {
-		if m.limit.version > seen {
-			limits = append(limits, &meshpb.Limit{
-				Target: id, Born: m.born, Named: m.limit.current.Named, PerSecond: m.limit.current.PerSecond,
-				AgeMs: now.Sub(m.limit.at).Milliseconds(),
-			})
-		}
-	}
-	return limits, v.limitVersion
-}
-
 // Limit returns the limit of an incarnation of a target; the zero Limit if none is known.
 func (v *View) Limit(id string, born int64) target.Limit {
 	v.mu.Lock()
--- a/internal/serving/fleetview/limits_test.go
+++ b/internal/serving/fleetview/limits_test.go
@@ -41,24 +41,51 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	a, b, c := fleetview.New("a"), fleetview.New("b"), fleetview.New("c")
 	a.SetLimit("t", 1, limitOf(3), at(0), at(10))
-	limits, upto := a.LimitsAfter(0, at(100))
+	limits, upto := a.MarksAfter(0, at(100))
 	g.Expect(limits).To(HaveLen(1))
-	b.MergeLimits(limits, at(105))
-	limits, _ = b.LimitsAfter(0, at(200))
-	c.MergeLimits(limits, at(205))
+	b.MergeMarks(limits, at(105))
+	limits, _ = b.MarksAfter(0, at(200))
+	c.MergeMarks(limits, at(205))
 	g.Expect(c.Limit("t", 1)).To(Equal(limitOf(3)))
-	limits, _ = a.LimitsAfter(upto, at(300))
+	limits, _ = a.MarksAfter(upto, at(300))
 	g.Expect(limits).To(BeEmpty())
 
 	c.SetLimit("t", 1, target.Limit{}, at(1500), at(1510))
-	limits, _ = b.LimitsAfter(0, at(1600))
-	c.MergeLimits(limits, at(1605))
+	limits, _ = b.MarksAfter(0, at(1600))
+	c.MergeMarks(limits, at(1605))
 	g.Expect(c.Limit("t", 1)).To(Equal(target.Limit{}), "the target itself has said later that it has none")
-	limits, _ = c.LimitsAfter(0, at(1700))
-	a.MergeLimits(limits, at(1705))
+	limits, _ = c.MarksAfter(0, at(1700))
+	a.MergeMarks(limits, at(1705))
 	g.Expect(a.Limit("t", 1)).To(Equal(target.Limit{}))
 }
 
+// TestDeparturesReachPeers guards against VMs that send requests to a target that has told
+// only others that it leaves (DRAIN), also if the target's row arrives later.
+func TestDeparturesReachPeers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	a, b, c := fleetview.New("a"), fleetview.New("b"), fleetview.New("c")
+	row := &target.Target{ID: "t", Born: 1, Pool: "p", Slots: 6}
+	a.Set(row)
+	a.SetLeaving("t", 1, now)
+	a.SetDistance("near", 1, time.Minute, now)
+	marks, upto := a.MarksAfter(0, now)
+	g.Expect(b.MergeMarks(marks, now)).To(HaveLen(1))
+	g.Expect(b.MergeMarks(marks, now)).To(BeEmpty(), "is known already")
+	marks, _ = b.MarksAfter(0, now)
+	g.Expect(marks).To(HaveLen(1), "how long a target keeps one VM away is not for others")
+	c.MergeMarks(marks, now)
+	c.Set(row)
+	r := &fleetview.Requirements{Pool: &policy.Pool{Name: "p"}}
+	g.Expect(c.Choose(r, now).Target).To(BeNil())
+	g.Expect(c.Limit("t", 1)).To(Equal(target.Limit{}))
+	marks, _ = a.MarksAfter(upto, now)
+	g.Expect(marks).To(BeEmpty())
+
+	c.Set(&target.Target{ID: "t", Born: 2, Pool: "p", Slots: 6})
+	g.Expect(c.Choose(r, now).Target).NotTo(BeNil(), "the next incarnation")
+}
+
 // TestChooseAvoidsLongCallWaits has a limited target that is chosen only if the request may
 // wait for it, and tells when it takes requests again.
 func TestChooseAvoidsLongCallWaits(t *testing.T) {
--- a/internal/serving/fleetview/marks.go
+++ b/internal/serving/fleetview/marks.go
@@ -1,6 +1,11 @@
 package fleetview
 
-import "time"
+import (
+	"time"
+
+	"fireflypier.example/fireflypier/internal/serving/mesh/meshpb"
+	"fireflypier.example/fireflypier/internal/serving/target"
+)
 
 const (
 	// maxDistance is the longest time for which a target may keep this VM's requests away.
@@ -23,6 +28,8 @@
 	distantUntil time.Time
 	limit        limitMark
 	at           time.Time
+	// version is the number of the last change that peers are told of.
+	version int64
 }
 
 // SetLeaving records that an incarnation of a target has said that it leaves. It gets no
@@ -34,9 +41,67 @@
 	if m == nil || m.leaving {
 		return false
 	}
+	v.setLeaving(m)
+	return true
+}
+
+// setLeaving marks an incarnation as leaving. The caller holds v.mu.
+func (v *View) setLeaving(m *mark) {
 	m.leaving = true
+	v.changeMark(m)
 	v.notify()
-	return true
+}
+
+// changeMark records a change of a mark for the peers. The caller holds v.mu.
+func (v *View) changeMark(m *mark) {
+	v.markVersion++
+	m.version = v.markVersion
+}
+
+// MarksAfter returns the marks that have changed after a version, and the newest version.
+// The time for which a target wants no calls from this VM is not for others.
+func (v *View) MarksAfter(seen int64, now time.Time) (marks []*meshpb.Mark, upto int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.markVersion <= seen {
+		return nil, v.markVersion
+	}
+	for id, m := range v.marks {
+		if m.version <= seen {
+			continue
+		}
+		w := &meshpb.Mark{Target: id, Born: m.born, Leaving: m.leaving, AgeMs: -1}
+		if !m.limit.at.IsZero() {
+			w.Named, w.PerSecond, w.AgeMs = m.limit.current.Named, m.limit.current.PerSecond, max(0, now.Sub(m.limit.at).Milliseconds())
+		}
+		marks = append(marks, w)
+	}
+	return marks, v.markVersion
+}
+
+// MergeMarks records the marks that a peer has passed on. It returns those of targets of
+// which this VM did not know that they leave.
+func (v *View) MergeMarks(marks []*meshpb.Mark, now time.Time) (leaving []*meshpb.Mark) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, w := range marks {
+		m := v.markOf(w.GetTarget(), w.GetBorn(), now)
+		if m == nil {
+			continue
+		}
+		if w.GetLeaving() && !m.leaving {
+			v.setLeaving(m)
+			leaving = append(leaving, w)
+		}
+		if w.GetAgeMs() < 0 {
+			continue
+		}
+		at := now.Add(-time.Duration(w.GetAgeMs()) * time.Millisecond)
+		if at.After(m.limit.at) && now.Sub(m.limit.ownAt) > ownLimitTTL {
+			v.updateLimit(m, target.Limit{Named: w.GetNamed(), PerSecond: w.GetPerSecond()}, at)
+		}
+	}
+	return leaving
 }
 
 // SetDistance records that an incarnation of a target wants no request from this VM for d.
--- a/internal/serving/node/delegate.go
+++ b/internal/serving/node/delegate.go
@@ -23,7 +23,7 @@
 	d.WantsWeights = n.wantsWeights()
 	seen := n.seenBy(p)
 	d.Sends, d.SendsUpto = n.view.SendsAfter(seen.sends, relation == meshpb.Relation_RELATION_TOTALS)
-	d.Limits, d.LimitsUpto = n.view.LimitsAfter(seen.limits, n.clock.Now())
+	d.Marks, d.MarksUpto = n.view.MarksAfter(seen.marks, n.clock.Now())
 	d.Suspects = n.quarantine.News(n.clock.Now())
 	n.fleet.fill(d, p.Address, relation, seen.wantsWeights || relation == meshpb.Relation_RELATION_REPORT, n.clock.Now())
 	n.mu.Lock()
@@ -37,7 +37,7 @@
 		}
 	}
 	if s := n.received[p.Address]; s.incarnation == p.Incarnation {
-		d.SendsSeen, d.InventorySeen, d.LimitsSeen = s.sends, s.inventory, s.limits
+		d.SendsSeen, d.InventorySeen, d.MarksSeen = s.sends, s.inventory, s.marks
 	}
 	return d
 }
@@ -74,16 +74,16 @@
 // highest versions of its sends, its inventory and its limits, and what the peer has received
 // and wants.
 type received struct {
-	incarnation              int64
-	sends, inventory, limits int64
-	peer                     seen
+	incarnation             int64
+	sends, inventory, marks int64
+	peer                    seen
 }
 
-// seen is what a peer has received of this VM's sends, inventory and limits, and whether it
+// seen is what a peer has received of this VM's sends, inventory and marks, and whether it
 // needs the demand for weights.
 type seen struct {
-	sends, inventory, limits int64
-	wantsWeights             bool
+	sends, inventory, marks int64
+	wantsWeights            bool
 }
 
 func (n *Node) seenBy(p *mesh.Peer) seen {
@@ -119,7 +119,9 @@
 		n.Logger.Warn("totals cannot be read", "peer", p.Address, "error", err)
 	}
 	n.quarantine.Merge(d.GetSuspects(), now)
-	n.view.MergeLimits(d.GetLimits(), now)
+	for _, leaving := range n.view.MergeMarks(d.GetMarks(), now) {
+		n.Logger.Info("target leaves", "target", leaving.GetTarget(), "born", leaving.GetBorn(), "source", p.Address)
+	}
 	n.applyOthers(now)
 	n.mu.Lock()
 	s := n.received[p.Address]
@@ -127,8 +129,8 @@
 		s = received{incarnation: p.Incarnation}
 	}
 	s.sends, s.inventory = max(s.sends, d.GetSendsUpto()), max(s.inventory, d.GetInventoryUpto())
-	s.limits = max(s.limits, d.GetLimitsUpto())
-	s.peer = seen{sends: d.GetSendsSeen(), inventory: d.GetInventorySeen(), limits: d.GetLimitsSeen(), wantsWeights: d.GetWantsWeights()}
+	s.marks = max(s.marks, d.GetMarksUpto())
+	s.peer = seen{sends: d.GetSendsSeen(), inventory: d.GetInventorySeen(), marks: d.GetMarksSeen(), wantsWeights: d.GetWantsWeights()}
 	n.received[p.Address] = s
 	var changed []*meshpb.Inventory
 	for _, entry := range d.GetInventory() {
