Make room on engines without a limit for models in demand

The engines without a limit held last replicas of models with hardly any demand, which may not be unloaded.

Change: if a model in demand has replicas on limited engines only and no room can be made elsewhere, a last replica with less demand is first loaded on a limited engine, in place of a model that has others. Nothing changes where no engine has a limit.

--- a/internal/serving/modelplacement/modelplacement.go
+++ b/internal/serving/modelplacement/modelplacement.go
@@ -116,6 +116,7 @@
 	ReasonNoReplica  = "model has no replica"
 	ReasonDemand     = "demand"
 	ReasonFreeMemory = "room for another model"
+	ReasonRelocation = "room on an engine without a limit"
 )
 
 // plan is the state of one decision.
@@ -161,11 +162,16 @@
 	}
 	p.desired = p.desiredReplicas()
 	loads, cold := in.Loads, in.ColdLoads
+	relocating := false
 	for _, m := range p.underReplicated() {
 		if loads <= 0 {
 			break
 		}
 		a, ok := p.place(m, cold > 0)
+		if !ok && !relocating {
+			a, ok = p.relocateFor(m, cold > 0)
+			relocating = ok
+		}
 		if !ok {
 			continue
 		}
@@ -410,7 +416,12 @@
 	if p.replicas[model] == 0 {
 		return true
 	}
-	return age > minReplicaAge && p.demandPerReplica(model, 1) > minReplacementGain*p.demandPerReplica(victim, -1)
+	return age > minReplicaAge && p.gains(model, victim)
+}
+
+// gains reports whether a replica of model is worth more than one of victim.
+func (p *plan) gains(model, victim string) bool {
+	return p.demandPerReplica(model, 1) > minReplacementGain*p.demandPerReplica(victim, -1)
 }
 
 // mayUnloadLast reports whether the last serving replica of victim, held for age,
