Wait for the answer to an adapter load whose caller has given up

The order had been sent and took effect; without its answer it counted as unanswered, and its engine got no order for a second, so that the loads of other adapters failed as well.

Change: from the first order on, an adapter load is no longer bound to its caller.

Measured: the new spec fails without it.

--- a/internal/serving/enginecontrol/adapter.go
+++ b/internal/serving/enginecontrol/adapter.go
@@ -40,6 +40,9 @@
 		return ""
 	}
 	defer e.end()
+	// An order that was sent is waited for, also if the caller has given up: it takes effect
+	// anyway, and without its answer the engine gets no further one for a while.
+	ctx = context.WithoutCancel(ctx)
 	if _, ok := e.adapterCost(pool.Engine, model, key, false, c.Clock.Now()); !ok {
 		c.Logger.Info("adapter not loaded: its engine no longer accepts the order", "model", model, "adapter", adapter, "engine", e.target.ID)
 		return ""
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -229,6 +229,29 @@
 		Eventually(done).Should(Receive(Not(BeEmpty())))
 	})
 
+	It("waits for the answer to an adapter load whose caller gives up, and goes on to the next", func() {
+		fleet := newFleet(clock, 1, 1)
+		for _, e := range fleet.engines {
+			e.models["m1"], e.models["m2"] = map[string]bool{}, map[string]bool{}
+		}
+		v := startVM(fleet, 1)
+		advance(3 * time.Second)
+		fleet.setOrderDelay(300 * time.Millisecond)
+		load := func(ctx context.Context, adapter string) <-chan string {
+			done := make(chan string, 1)
+			go func() { done <- v.controller.LoadAdapter(ctx, "engines", "m1", adapter) }()
+			return done
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		first := load(ctx, "a1")
+		advance(100 * time.Millisecond)
+		cancel()
+		second := load(context.Background(), "a2")
+		advance(800 * time.Millisecond)
+		Eventually(first).Should(Receive())
+		Eventually(second).Should(Receive(Not(BeEmpty())))
+	})
+
 	It("loads no model anew because an engine that holds it is reporting", func() {
 		fleet := newFleet(clock, 3, 1)
 		startVM(fleet, 1)
--- a/internal/serving/enginecontrol/fleetsim_test.go
+++ b/internal/serving/enginecontrol/fleetsim_test.go
@@ -51,6 +51,8 @@
 	denies         bool
 	// reportDelay is the time that a report takes; reporting counts those in progress.
 	reportDelay time.Duration
+	// orderDelay is the time that an order takes.
+	orderDelay time.Duration
 	reporting   int
 	// asks is the distance that the engines ask for, distantUntil the end of the time that
 	// the VMs have heard of, by engine.
@@ -115,6 +117,12 @@
 	f.asks = d
 }
 
+func (f *fleetSim) setOrderDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orderDelay = d
+}
+
 func (f *fleetSim) setReportDelay(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -194,10 +202,17 @@
 	return r, f.marksOf(), nil
 }
 
-func (f *fleetSim) Order(_ context.Context, to *target.Target, o *target.Order) (target.Outcome, target.Marks, error) {
+func (f *fleetSim) Order(ctx context.Context, to *target.Target, o *target.Order) (target.Outcome, target.Marks, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	if f.orderDelay > 0 {
+		f.wait(ctx, f.orderDelay)
+		if ctx.Err() != nil {
+			f.execute(f.engines[to.Address], o)
+			return target.Unanswered, target.Marks{}, ctx.Err()
+		}
+	}
 	f.sent, f.to = append(f.sent, o), append(f.to, to.ID)
 	if f.rng.Float64() < f.lossRate {
 		delay := time.Duration(200+f.rng.IntN(3000)) * time.Millisecond
