Start planned loads only while no other call to their engine is in progress

Read in the diff: since adapter loads wait for their turn, a planned load could wait for one too, up to a second after it was allowed by the store's rate, and count in a later window of the operators' bound (CEILING).

Change: an action is dropped if a call to its engine is in progress, before a load is counted; the next plan has it again.

--- a/internal/serving/enginecontrol/adapter.go
+++ b/internal/serving/enginecontrol/adapter.go
@@ -73,7 +73,8 @@
 }
 
 // chooseEngine returns the engine with the lowest adapterCost plus unfinished
-// requests; nil if no engine can take the adapter. It skips draining engines, and those that want no calls.
+// requests; nil if no engine can take the adapter. It skips draining engines, and those
+// that want no calls.
 func (c *Controller) chooseEngine(pool *policy.Pool, model, key string) *engine {
 	now := c.Clock.Now()
 	c.mu.Lock()
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -213,14 +213,15 @@
 	return live
 }
 
-// spawn runs f in a goroutine of wg, unless one is already running for the engine.
-func (c *Controller) spawn(wg *conc.WaitGroup, e *engine, f func()) {
+// spawn runs f in a goroutine of wg, unless one is already running for the engine. It
+// reports whether it does.
+func (c *Controller) spawn(wg *conc.WaitGroup, e *engine, f func()) bool {
 	c.mu.Lock()
 	busy := c.busy[e.target.ID]
 	c.busy[e.target.ID] = true
 	c.mu.Unlock()
 	if busy {
-		return
+		return false
 	}
 	wg.Go(func() {
 		defer func() {
@@ -230,6 +231,7 @@
 		}()
 		f()
 	})
+	return true
 }
 
 // reconcile fetches a report if one is due, and continues pending orders: it
@@ -479,14 +481,15 @@
 		if e.target.ID != a.Engine {
 			continue
 		}
+		if !e.calls.TryAcquire(1) {
+			return // planned again after the call in progress, so that a load starts when it is allowed
+		}
 		if a.Cold && !c.loadLimiter.allow(pool, c.Clock.Now()) {
+			e.calls.Release(1)
 			return
 		}
-		c.spawn(wg, e, func() {
-			if err := e.begin(ctx); err != nil {
-				c.Logger.Info("plan not executed", "engine", a.Engine, "model", a.Model, "drop", a.Unload, "error", err)
-				return
-			}
+		started := c.spawn(wg, e, func() {
+			e.mu.Lock()
 			defer e.end()
 			c.Logger.Info("plan", "engine", a.Engine, "model", a.Model, "drop", a.Unload, "for", a.For, "cold", a.Cold, "reason", a.Reason, "report_age_ms", c.Clock.Since(e.reportRequested).Milliseconds())
 			if a.Unload {
@@ -496,6 +499,9 @@
 			}
 			c.load(ctx, term, pool.Engine, e, a.Model)
 		})
+		if !started {
+			e.calls.Release(1)
+		}
 	}
 }
 
--- a/internal/serving/enginecontrol/fleetsim_test.go
+++ b/internal/serving/enginecontrol/fleetsim_test.go
@@ -53,7 +53,7 @@
 	reportDelay time.Duration
 	// orderDelay is the time that an order takes.
 	orderDelay time.Duration
-	reporting   int
+	reporting  int
 	// asks is the distance that the engines ask for, distantUntil the end of the time that
 	// the VMs have heard of, by engine.
 	asks         time.Duration
