Let the targets of the soak say that they leave and want no requests

After its faults, the soak has one target of each pool turn requests away with 503 and a Retry-After of 4 s, and counts what still reaches it once all nodes have been told: two calls a node at most. Draining targets say so in all their answers.

--- a/tests/soak/drill_test.go
+++ b/tests/soak/drill_test.go
@@ -24,6 +24,12 @@
 	limitWindow    = 4 * time.Second
 	limitBurst     = 5
 	limitSettling  = 3 * time.Second
+
+	// distance is the time for which one target of each pool wants no requests in
+	// checkDistance. Once all nodes have been told, each may send it distantCalls.
+	distance         = 4 * time.Second
+	distanceSettling = 1500 * time.Millisecond
+	distantCalls     = 2
 )
 
 // restoreStore restores the store from copies again and again until a time.
@@ -64,15 +70,49 @@
 	}
 }
 
-// checkLimits has one target of each pool name a limit, and reports a violation if it then
-// gets more calls than the limit allows from all nodes together.
-func (s *testSite) checkLimits() {
+// oneOfEachPool returns one target of each pool.
+func (s *testSite) oneOfEachPool() map[string]*target {
 	s.mu.Lock()
-	limited := make(map[string]*target)
+	defer s.mu.Unlock()
+	byPool := make(map[string]*target)
 	for _, t := range s.targets {
-		limited[t.pool] = t
+		byPool[t.pool] = t
 	}
-	s.mu.Unlock()
+	return byPool
+}
+
+// checkDistance has one target of each pool turn requests away for a time, and reports a
+// violation if it then gets more calls than the nodes may send it.
+func (s *testSite) checkDistance() {
+	distant := s.oneOfEachPool()
+	until := time.Now().Add(distance)
+	for _, t := range distant {
+		t.mu.Lock()
+		t.distantUntil, t.calls = until, nil
+		t.mu.Unlock()
+	}
+	time.Sleep(distance)
+	for _, t := range distant {
+		t.mu.Lock()
+		calls := 0
+		for _, at := range t.calls {
+			if at.After(until.Add(distanceSettling - distance)) {
+				calls++
+			}
+		}
+		s.logEvent("%s, which wanted no requests for %s, got %d calls, %d of them late", t.id, distance, len(t.calls), calls)
+		t.calls = nil
+		t.mu.Unlock()
+		if allowed := distantCalls * len(s.nodes); calls > allowed {
+			s.reportViolation("%s got %d calls while it wanted none, %d allowed", t.id, calls, allowed)
+		}
+	}
+}
+
+// checkLimits has one target of each pool name a limit, and reports a violation if it then
+// gets more calls than the limit allows from all nodes together.
+func (s *testSite) checkLimits() {
+	limited := s.oneOfEachPool()
 	for _, t := range limited {
 		t.mu.Lock()
 		t.limit = limitPerSecond
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -106,6 +106,7 @@
 			s.injectFaults(length)
 			time.Sleep(recoveryTime)
 			s.checkLimits()
+			s.checkDistance()
 			served, sent := s.checkRecovered()
 			stop()
 			wg.Wait()
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -41,26 +41,36 @@
 	holder   string
 	orderAt  time.Time
 	draining bool
-	// limit is the limit that the target names, if it is above zero; calls has the times
-	// of all calls since then.
-	limit int
-	calls []time.Time
+	// limit is the limit that the target names, if it is above zero. Until distantUntil it
+	// turns requests away and wants none. calls has the times of all calls in that time.
+	limit        int
+	distantUntil time.Time
+	calls        []time.Time
 }
 
-// recordCall records a call, and names the limit in its answer.
-func (t *target) recordCall(w http.ResponseWriter) {
+// recordCall records a call, and has its answer say what the target wants. It returns the
+// time for which the target turns requests away.
+func (t *target) recordCall(w http.ResponseWriter) (distance time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
+	distance = t.distantUntil.Sub(now)
+	if t.limit > 0 || distance > 0 {
+		t.calls = append(t.calls, now)
+	}
 	if t.limit > 0 {
-		t.calls = append(t.calls, time.Now())
 		w.Header().Set("Server-Limit", strconv.Itoa(t.limit))
 	}
+	if t.draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	return distance
 }
 
 // serve answers reports and orders, and runs and records any other request.
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Fireflypier-Request-Id")
-	t.recordCall(w)
+	distance := t.recordCall(w)
 	switch {
 	case r.URL.Path == "/report":
 		t.report(w)
@@ -74,6 +84,13 @@
 	case r.Header.Get("Authorization") != "":
 		t.site.reportViolation("%s received the API key of request %s", t.id, id)
 	}
+	if distance > 0 {
+		w.Header().Set("Fireflypier-Request-Id", id)
+		w.Header().Set("Fireflypier-Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(distance.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if model := r.Header.Get("Fireflypier-Model"); model != "" && !t.holds(model) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
