--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -198,19 +198,32 @@
 // stopTarget stops the target of a pool with the lowest ID as in a crash: its row
 // stays for another 1.5 s. A new target of the pool starts after 2 s.
 func (s *testSite) stopTarget(pool string) {
+	t := s.removeTarget(pool)
+	if t == nil {
+		s.logEvent("no target of %s is left to stop", pool)
+		return
+	}
+	t.proxy.Close()
+	t.server.CloseClientConnections()
+	time.AfterFunc(1500*time.Millisecond, func() { s.rows.Delete(rowstore.Targets, t.id) })
+	time.AfterFunc(2*time.Second, func() { s.startTarget(pool) })
+}
+
+// removeTarget removes the target of a pool with the lowest ID from the list of those that
+// run; nil if there is none.
+func (s *testSite) removeTarget(pool string) *target {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	var t *target
 	for _, o := range s.targets {
 		if o.pool == pool && (t == nil || o.id < t.id) {
 			t = o
 		}
 	}
-	delete(s.targets, t.id)
-	s.mu.Unlock()
-	t.proxy.Close()
-	t.server.CloseClientConnections()
-	time.AfterFunc(1500*time.Millisecond, func() { s.rows.Delete(rowstore.Targets, t.id) })
-	time.AfterFunc(2*time.Second, func() { s.startTarget(pool) })
+	if t != nil {
+		delete(s.targets, t.id)
+	}
+	return t
 }
 
 // publish writes a configuration with the given version and API key. To give two
