Believe that an engine leaves only from the same incarnation

Read in the diff: the marks of a report or an order were recorded for the incarnation of the target's row, also if another one at the same address had answered. A process that leaves could mark its successor, which then gets no request for good.

Change: a report counts only if it names the incarnation, apart from limits and distances, which end; a misdirected order not at all.

--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -293,6 +293,9 @@
 	var marks target.Marks
 	var err error
 	e.call(func() { r, marks, err = c.Engines.Report(ctx, e.target.Address) })
+	if r == nil || r.Born != e.target.Born {
+		marks.Leaving = false // may be that of another incarnation at the address
+	}
 	c.observe(e, &marks, reportRequested)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		e.silentSince = time.Time{}
@@ -330,7 +333,9 @@
 	var err error
 	sent := c.Clock.Now()
 	e.call(func() { outcome, marks, err = c.Engines.Order(ctx, e.target, &o) })
-	c.observe(e, &marks, sent)
+	if outcome != target.Misdirected {
+		c.observe(e, &marks, sent)
+	}
 	c.Logger.Info("order", "engine", e.target.ID, "operation", o.Operation.String(), "model", o.Model, "adapter", o.Adapter,
 		"expected", o.Expected, "fence", o.Fence, "outcome", outcome.String(), "report_age_ms", c.Clock.Since(e.reportRequested).Milliseconds(), "error", err)
 	switch outcome {
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -252,6 +252,18 @@
 		Eventually(second).Should(Receive(Not(BeEmpty())))
 	})
 
+	It("hears that an engine leaves only from the same incarnation", func() {
+		fleet := newFleet(clock, 1, 1)
+		startVM(fleet, 1)
+		advance(3 * time.Second)
+		fleet.replace(2)
+		advance(5 * time.Second)
+		Expect(fleet.heardLeaving()).To(BeFalse())
+		fleet.replace(1)
+		advance(5 * time.Second)
+		Expect(fleet.heardLeaving()).To(BeTrue())
+	})
+
 	It("loads no model anew because an engine that holds it is reporting", func() {
 		fleet := newFleet(clock, 3, 1)
 		startVM(fleet, 1)
@@ -302,6 +314,11 @@
 
 	It("stops advertising a model once its unload was sent, answered or not", func() {
 		fleet := newFleet(clock, 3, 1)
+		others := []string{"m2", "m3", "m4"}
+		for _, e := range fleet.engines { // all full, so that m2 needs an unload
+			e.models["m1"], e.models[others[0]] = map[string]bool{}, map[string]bool{}
+			others = others[1:]
+		}
 		v := startVM(fleet, 1)
 		v.setDemand("m1")
 		advance(15 * time.Second)
--- a/internal/serving/enginecontrol/fleetsim_test.go
+++ b/internal/serving/enginecontrol/fleetsim_test.go
@@ -58,6 +58,10 @@
 	// the VMs have heard of, by engine.
 	asks         time.Duration
 	distantUntil map[string]time.Time
+	// born is the incarnation that reports, leaves is set if it says that it leaves, leaving
+	// once a VM has heard that.
+	born            int64
+	leaves, leaving bool
 }
 
 // permit is the Permit of the controllers.
@@ -84,7 +88,9 @@
 }
 
 // marksOf returns what all engines say in their answers. The caller holds f.mu.
-func (f *fleetSim) marksOf() target.Marks { return target.Marks{Limit: f.limit, Distance: f.asks} }
+func (f *fleetSim) marksOf() target.Marks {
+	return target.Marks{Limit: f.limit, Distance: f.asks, Leaving: f.leaves}
+}
 
 // distance returns the time for which an engine wants no call.
 func (f *fleetSim) distance(id string) time.Duration {
@@ -97,6 +103,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.distantUntil[t.ID] = f.clock.Now().Add(m.Distance)
+	f.leaving = f.leaving || m.Leaving
+}
+
+// replace lets the engines answer as another incarnation, which leaves.
+func (f *fleetSim) replace(born int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.born, f.leaves = born, true
+}
+
+// heardLeaving reports whether a VM has heard that its engine leaves.
+func (f *fleetSim) heardLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving
 }
 
 // keepAway lets the engines that hold the model want no call for d.
@@ -155,7 +176,7 @@
 }
 
 func newFleet(clock clockwork.Clock, n int, seed uint64) *fleetSim {
-	f := &fleetSim{clock: clock, engines: make(map[netip.AddrPort]*engineSim), distantUntil: make(map[string]time.Time), rng: rand.New(rand.NewPCG(seed, 1))}
+	f := &fleetSim{clock: clock, engines: make(map[netip.AddrPort]*engineSim), distantUntil: make(map[string]time.Time), born: 1, rng: rand.New(rand.NewPCG(seed, 1))}
 	for i := range n {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
 		e := &engineSim{
@@ -191,7 +212,7 @@
 		f.wait(ctx, target.ReportTimeout)
 		return nil, target.Marks{}, context.DeadlineExceeded
 	}
-	r := &target.Report{Born: 1, Orders: e.orders, Busy: e.busy}
+	r := &target.Report{Born: f.born, Orders: e.orders, Busy: e.busy}
 	for m, adapters := range e.models {
 		h := target.LoadedModel{Model: m}
 		for a := range adapters {
