Look up the mark of a target once for each choice

Choosing looked up the mark of each candidate up to four times: for its departure, its distance, the penalty of its return and its limit. The candidates' marks are now looked up once after the departure, and what a mark says is asked of the mark; no mark says nothing. Same decisions.

--- a/internal/serving/fleetview/fleetview.go
+++ b/internal/serving/fleetview/fleetview.go
@@ -193,7 +193,7 @@
 	all := make([]*target.Target, 0, len(v.targets))
 	for _, s := range v.targets {
 		t := s.target
-		if v.leaving(s) && !t.Draining {
+		if v.stateMark(s).leaves() && !t.Draining {
 			draining := *t
 			draining.Draining = true
 			t = &draining
@@ -363,14 +363,15 @@
 	spread := time.Duration(pace * float64(v.herding.spread(r.PromptTokens, len(eligible), now)))
 	choice := v.herding.random.Uint64()
 	for _, s := range eligible {
-		if until := v.distantUntil(s); now.Before(until) {
-			c.excludeUntil(until)
+		m := v.stateMark(s)
+		if distance := m.distance(now); distance > 0 {
+			c.excludeUntil(now.Add(distance))
 			continue
 		}
 		if slices.Contains(r.Exclude, s.target.ID) || now.Before(s.backoffUntil) {
 			continue
 		}
-		limit, wait := v.callWait(s, now)
+		limit, wait := m.callWait(now)
 		if wait > r.MaxCallWait {
 			c.excludeUntil(now.Add(wait - r.MaxCallWait))
 			continue
@@ -379,7 +380,7 @@
 		c.Candidates++
 		v.herding.generator.Seed(choice, s.hash)
 		expected, cached := v.expected(s, &total, r, pace, s.target.ID == preferredID, now)
-		cost := wait + expected + v.returnPenalty(s, now) + time.Duration(s.failureRate(now)*float64(failureCost)) + v.herding.disperse(spread)
+		cost := wait + expected + m.returnPenalty(now) + time.Duration(s.failureRate(now)*float64(failureCost)) + v.herding.disperse(spread)
 		if c.Target == nil || cost < best {
 			c.Target, c.Limit, c.CallWait, c.Expected, c.Cached = s.target, limit, wait, expected, cached
 			c.Probe, best = total.requests.total() == 0, cost
@@ -394,7 +395,7 @@
 func (v *View) eligible(r *Requirements, c *Choice, now time.Time) []*state {
 	var eligible []*state
 	for _, s := range v.targets {
-		if s.target.Pool != r.Pool.Name || s.target.Draining || v.leaving(s) {
+		if s.target.Pool != r.Pool.Name || s.target.Draining || v.stateMark(s).leaves() {
 			continue
 		}
 		c.InPool++
--- a/internal/serving/fleetview/limits.go
+++ b/internal/serving/fleetview/limits.go
@@ -70,10 +70,8 @@
 	}
 }
 
-// callWait returns the limit of a target and the time until a call to it may be allowed.
-// The caller holds v.mu.
-func (v *View) callWait(s *state, now time.Time) (target.Limit, time.Duration) {
-	m := v.knownMark(s.target.ID, s.target.Born)
+// callWait returns the limit of the target and the time until a call to it may be allowed.
+func (m *mark) callWait(now time.Time) (target.Limit, time.Duration) {
 	if m == nil || !m.limit.current.Named {
 		return target.Limit{}, 0
 	}
--- a/internal/serving/fleetview/marks.go
+++ b/internal/serving/fleetview/marks.go
@@ -20,7 +20,8 @@
 )
 
 // mark is what a target has said in its answers about further requests. It holds for one
-// incarnation of the target, also while its row is missing.
+// incarnation of the target, also while its row is missing. A nil mark is that of a target
+// that has said nothing.
 type mark struct {
 	born    int64
 	leaving bool
@@ -125,14 +126,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, s := range v.targets {
-		m := v.knownMark(s.target.ID, s.target.Born)
+		m := v.stateMark(s)
 		if m == nil {
 			continue
 		}
 		if m.leaving {
 			leaving++
 		}
-		if now.Before(m.distantUntil) {
+		if m.distance(now) > 0 {
 			distant++
 		}
 		if m.limit.current.Named {
@@ -170,41 +171,19 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.targets[id]
-	return s != nil && s.target.Born == born && !s.target.Draining && !v.leaving(s) && !now.Before(v.distantUntil(s))
+	if s == nil || s.target.Born != born || s.target.Draining {
+		return false
+	}
+	m := v.knownMark(id, born)
+	return !m.leaves() && m.distance(now) == 0
 }
 
 // Distance returns the time for which an incarnation of a target wants no call from this
-// VM; zero or less if it takes calls.
+// VM; zero if it takes calls.
 func (v *View) Distance(id string, born int64, now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if m := v.knownMark(id, born); m != nil {
-		return max(0, m.distantUntil.Sub(now))
-	}
-	return 0
-}
-
-// leaving reports whether the target has said that it leaves. The caller holds v.mu.
-func (v *View) leaving(s *state) bool {
-	m := v.knownMark(s.target.ID, s.target.Born)
-	return m != nil && m.leaving
-}
-
-// distantUntil returns the time until which the target wants no request. The caller holds
-// v.mu.
-func (v *View) distantUntil(s *state) time.Time {
-	if m := v.knownMark(s.target.ID, s.target.Born); m != nil {
-		return m.distantUntil
-	}
-	return time.Time{}
-}
-
-// returnPenalty returns the cost of choosing a target that has wanted no requests until a
-// short time ago. It keeps all that the VMs hold back from coming at once. The caller holds
-// v.mu.
-func (v *View) returnPenalty(s *state, now time.Time) time.Duration {
-	left := returnTime - now.Sub(v.distantUntil(s))
-	return time.Duration(float64(returnCost) * float64(max(0, left)) / float64(returnTime))
+	return v.knownMark(id, born).distance(now)
 }
 
 // knownMark returns the mark of an incarnation, or nil if it has said nothing. The caller
@@ -215,3 +194,27 @@
 	}
 	return nil
 }
+
+// stateMark returns the mark of the incarnation that s is the state of, like knownMark.
+func (v *View) stateMark(s *state) *mark { return v.knownMark(s.target.ID, s.target.Born) }
+
+// leaves reports whether the target has said that it leaves.
+func (m *mark) leaves() bool { return m != nil && m.leaving }
+
+// distance returns the time for which the target wants no request.
+func (m *mark) distance(now time.Time) time.Duration {
+	if m == nil {
+		return 0
+	}
+	return max(0, m.distantUntil.Sub(now))
+}
+
+// returnPenalty returns the cost of choosing a target that has wanted no requests until a
+// short time ago. It keeps all that the VMs hold back from coming at once.
+func (m *mark) returnPenalty(now time.Time) time.Duration {
+	if m == nil {
+		return 0
+	}
+	left := returnTime - now.Sub(m.distantUntil)
+	return time.Duration(float64(returnCost) * float64(max(0, left)) / float64(returnTime))
+}
--- a/internal/serving/forward/observe.go
+++ b/internal/serving/forward/observe.go
@@ -5,9 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
--- a/internal/serving/node/delegate.go
+++ b/internal/serving/node/delegate.go
@@ -71,7 +71,7 @@
 }
 
 // received records what this VM has received from a peer: the peer's incarnation, the
-// highest versions of its sends, its inventory and its limits, and what the peer has received
+// highest versions of its sends, its inventory and its marks, and what the peer has received
 // and wants.
 type received struct {
 	incarnation             int64
