--- a/internal/serving/modelplacement/modelplacement.go
+++ b/internal/serving/modelplacement/modelplacement.go
@@ -338,12 +338,17 @@
 	return p.unloadFor(model, spec)
 }
 
-// canLoad reports whether the engine may get an action for a model.
+// canLoad reports whether the engine may get an action for a model that lacks a replica.
 func (p *plan) canLoad(e *Engine, model string) bool {
-	_, holds := e.Models[model]
 	// A model with a replica on a limited engine needs one on another kind.
 	useful := p.isFull(e) || p.replicas[model] == 0
-	return !e.Leaving && e.Idle && !p.assigned[e.ID] && !holds && useful
+	return useful && p.isFree(e, model)
+}
+
+// isFree reports whether the engine can get an action for a model, which it does not hold.
+func (p *plan) isFree(e *Engine, model string) bool {
+	_, holds := e.Models[model]
+	return !e.Leaving && e.Idle && !p.assigned[e.ID] && !holds
 }
 
 // cold reports whether a model must be loaded from the weight store.
--- a/internal/serving/modelplacement/relocation.go
+++ b/internal/serving/modelplacement/relocation.go
@@ -48,10 +48,7 @@
 	var victim string
 	for i := range p.in.Engines {
 		e := &p.in.Engines[i]
-		if _, holds := e.Models[model]; holds || e.Leaving || !e.Limited || !e.Idle || p.assigned[e.ID] {
-			continue
-		}
-		if e.cold(model) && !coldAllowed {
+		if !e.Limited || !p.isFree(e, model) || (e.cold(model) && !coldAllowed) {
 			continue
 		}
 		unload, ok := p.redundant(e, spec.WeightsMB-e.FreeMB)
