Walk lenders in one place, and work out their order once for each call

Borrowing and reserving had the same walk over the lenders. A VM that is the lender itself worked out their order twice for a call: to ask itself, and for its share.

--- a/internal/serving/node/borrow.go
+++ b/internal/serving/node/borrow.go
@@ -21,14 +21,22 @@
 // hubs, the same for all VMs. If the lender does not answer, another hub lends. borrow
 // reports whether the charge was made; if not, after is the time until it could be.
 func (n *Node) borrow(ctx context.Context, customer string, cost float64) (ok bool, after time.Duration, err error) {
-	order := n.hubOrder(customer)
-	for _, lender := range order[:min(maxLenders, len(order))] {
+	err = askLenders(n.hubOrder(customer), func(lender netip.AddrPort) (err error) {
 		ok, after, err = n.borrowFrom(ctx, lender, customer, cost)
-		if err == nil {
-			return ok, after, nil
+		return err
+	})
+	return ok, after, err
+}
+
+// askLenders asks the lenders in order until one answers, and at most maxLenders of them.
+// It returns the error of the last one.
+func askLenders(order []netip.AddrPort, ask func(lender netip.AddrPort) error) (err error) {
+	for _, lender := range order[:min(maxLenders, len(order))] {
+		if err = ask(lender); err == nil {
+			return nil
 		}
 	}
-	return false, 0, err
+	return err
 }
 
 // hubOrder returns the hubs in the order in which they lend for a key: a customer or the ID
--- a/internal/serving/node/delegate.go
+++ b/internal/serving/node/delegate.go
@@ -185,7 +185,7 @@
 
 // Reserve implements mesh.Delegate.
 func (m meshDelegate) Reserve(r *meshpb.ReserveRequest) *meshpb.ReserveReply {
-	wait, reserved := m.n.lendCall(r)
+	wait, reserved := m.n.lendCall(r, m.n.lenders(r.GetTarget()))
 	return &meshpb.ReserveReply{Reserved: reserved, WaitMs: wait.Milliseconds()}
 }
 
--- a/internal/serving/node/reserve.go
+++ b/internal/serving/node/reserve.go
@@ -38,43 +38,41 @@
 func (n *Node) reserve(ctx context.Context, t *target.Target, l target.Limit, maxWait time.Duration) (wait time.Duration, reserved bool, err error) {
 	r := &meshpb.ReserveRequest{Target: t.ID, Born: t.Born, PerSecond: l.PerSecond, MaxWaitMs: maxWait.Milliseconds()}
 	order := n.lenders(t.ID)
-	for _, lender := range order[:min(maxLenders, len(order))] {
+	err = askLenders(order, func(lender netip.AddrPort) (err error) {
 		if lender == n.Settings.Peer {
-			wait, reserved = n.lendCall(r)
-			return wait, reserved, nil
+			wait, reserved = n.lendCall(r, order)
+			return nil
 		}
-		var reply *meshpb.ReserveReply
-		callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
-		reply, err = n.mesh.Reserve(callCtx, lender, r)
-		cancel()
-		if err == nil {
-			return time.Duration(reply.GetWaitMs()) * time.Millisecond, reply.GetReserved(), nil
-		}
-	}
-	return 0, false, err
+		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		reply, err := n.mesh.Reserve(ctx, lender, r)
+		wait, reserved = time.Duration(reply.GetWaitMs())*time.Millisecond, reply.GetReserved()
+		return err
+	})
+	return wait, reserved, err
 }
 
-// lendCall reserves a call to a target for any VM.
-func (n *Node) lendCall(r *meshpb.ReserveRequest) (wait time.Duration, reserved bool) {
+// lendCall reserves a call to a target for any VM; order has the target's lenders.
+func (n *Node) lendCall(r *meshpb.ReserveRequest, order []netip.AddrPort) (wait time.Duration, reserved bool) {
 	return n.limiter.Reserve(&targetlimit.Call{
 		Target:  r.GetTarget(),
 		Born:    r.GetBorn(),
 		Limit:   target.Limit{Named: true, PerSecond: r.GetPerSecond()},
-		Share:   n.lenderShare(r.GetTarget()),
+		Share:   n.lenderShare(order),
 		MaxWait: time.Duration(r.GetMaxWaitMs()) * time.Millisecond,
 	}, n.clock.Now())
 }
 
-// lenderShare returns the share of a target's limit that this VM may reserve. Where a
-// part of the VMs is cut off from the others, both parts may have a lender: the smaller
-// one gets a share in proportion to its VMs.
-func (n *Node) lenderShare(targetID string) float64 {
+// lenderShare returns the share of a target's limit that this VM may reserve; order has the
+// target's lenders. Where a part of the VMs is cut off from the others, both parts may have
+// a lender: the smaller one gets a share in proportion to its VMs.
+func (n *Node) lenderShare(order []netip.AddrPort) float64 {
 	live, silent := n.mesh.Count()
 	reachable := float64(1+live) / float64(1+live+silent)
 	if reachable > 0.5 {
 		reachable = 1
 	}
-	if order := n.lenders(targetID); !slices.Contains(order[:min(1, len(order))], n.Settings.Peer) {
+	if !slices.Contains(order[:min(1, len(order))], n.Settings.Peer) {
 		return reachable * substituteShare
 	}
 	return reachable
