Separate what an engine takes from what it costs, and shorten the specs' set-up

An adapter load that had waited computed a cost to learn whether its engine still takes the adapter. The placement asked for an engine's distance twice. The specs of enginecontrol had a setter for each field and filled engines in three loops. Same decisions; the assertions are unchanged.

--- a/internal/serving/enginecontrol/adapter.go
+++ b/internal/serving/enginecontrol/adapter.go
@@ -43,7 +43,7 @@
 	// An order that was sent is waited for, also if the caller has given up: it takes effect
 	// anyway, and without its answer the engine gets no further one for a while.
 	ctx = context.WithoutCancel(ctx)
-	if _, ok := e.adapterCost(pool.Engine, model, key, false, c.Clock.Now()); !ok {
+	if !e.takesAdapter(model, c.Clock.Now()) {
 		c.Logger.Info("adapter not loaded: its engine no longer accepts the order", "model", model, "adapter", adapter, "engine", e.target.ID)
 		return ""
 	}
@@ -87,42 +87,43 @@
 			continue
 		}
 		e.mu.Lock()
-		cost, ok := e.adapterCost(pool.Engine, model, key, c.Limit(e.target).Named, now)
-		e.mu.Unlock()
-		if !ok {
-			continue
+		takes, cost := e.takesAdapter(model, now), 0.0
+		if takes {
+			cost = e.adapterCost(pool.Engine, key, c.Limit(e.target).Named) + float64(c.Requests(e.target.ID))
 		}
-		cost += float64(c.Requests(e.target.ID))
-		if best == nil || cost < bestCost {
+		e.mu.Unlock()
+		if takes && (best == nil || cost < bestCost) {
 			best, bestCost = e, cost
 		}
 	}
 	return best
 }
 
-// adapterCost returns the cost of using the engine for an adapter, in units of
-// one unfinished request; lower is better. ok is false if the engine cannot take
-// the adapter.
-func (e *engine) adapterCost(spec *policy.Engine, model, key string, limited bool, now time.Time) (cost float64, ok bool) {
+// takesAdapter reports whether the engine can take an adapter of a model.
+func (e *engine) takesAdapter(model string, now time.Time) bool {
+	if !e.ready(now) || (e.unloading != nil && e.unloading.model == model) {
+		return false
+	}
+	if _, held := e.report.Weights.Find(model); !held {
+		return false
+	}
+	_, isDraining := e.draining[model]
+	return !isDraining
+}
+
+// adapterCost returns the cost of using the engine for an adapter that it takes, in units
+// of one unfinished request; lower is better.
+func (e *engine) adapterCost(spec *policy.Engine, key string, limited bool) float64 {
 	// evictionCost is added if another adapter must be unloaded first, perAdapter
 	// for each adapter that the engine holds. Both count unfinished requests.
 	// limitedCost is added for an engine that takes only few calls a second, callingCost
 	// for one that has still to answer another call.
 	const evictionCost, perAdapter, limitedCost, callingCost = 12.0, 1.0, 20.0, 6.0
-	if !e.ready(now) || (e.unloading != nil && e.unloading.model == model) {
-		return 0, false
-	}
-	if _, held := e.report.Weights.Find(model); !held {
-		return 0, false
-	}
-	if _, isDraining := e.draining[model]; isDraining {
-		return 0, false
-	}
 	occupied := e.adapters()
 	if occupied[key] {
-		return -1000, true // preferred to any engine without the adapter
+		return -1000 // preferred to any engine without the adapter
 	}
-	cost = perAdapter * float64(len(occupied))
+	cost := perAdapter * float64(len(occupied))
 	if e.freeSlots(spec) <= 0 {
 		cost += evictionCost
 	}
@@ -132,7 +133,7 @@
 	if e.calling {
 		cost += callingCost
 	}
-	return cost, true
+	return cost
 }
 
 // ensureSlot reports whether the engine has a free adapter slot. If it has none,
--- a/internal/serving/enginecontrol/enginecontrol.go
+++ b/internal/serving/enginecontrol/enginecontrol.go
@@ -443,17 +443,18 @@
 // placementEngine returns the placement's view of an engine. Draining models are
 // omitted; loading models and the replacement count as held.
 func (c *Controller) placementEngine(e *engine, spec *policy.Engine, now time.Time) modelplacement.Engine {
+	distant := c.Distance(e.target) > 0
 	s := modelplacement.Engine{
 		ID:       e.target.ID,
 		Leaving:  e.target.Draining,
 		Models:   make(map[string]time.Time),
 		Serving:  make(map[string]bool),
 		FreeMB:   e.freeMB(spec),
-		Idle:     e.ready(now) && !e.calling && c.Distance(e.target) <= 0 && e.loading == nil && e.unloading == nil && len(e.draining) == 0 && e.replacement == "",
+		Idle:     e.ready(now) && !e.calling && !distant && e.loading == nil && e.unloading == nil && len(e.draining) == 0 && e.replacement == "",
 		InMemory: toSet(e.report.Weights.InMemory),
 		OnDisk:   toSet(e.report.Weights.OnDisk),
 		Requests: c.Requests(e.target.ID),
-		Limited:  c.Limit(e.target).Named || c.Distance(e.target) > 0,
+		Limited:  c.Limit(e.target).Named || distant,
 	}
 	for i := range e.report.Weights.Models {
 		m := e.report.Weights.Models[i].Model
--- a/internal/serving/enginecontrol/enginecontrol_test.go
+++ b/internal/serving/enginecontrol/enginecontrol_test.go
@@ -183,11 +183,11 @@
 		fleet := newFleet(clock, 1, 1)
 		v := startVM(fleet, 1)
 		advance(12 * time.Second)
-		fleet.askForDistance(10 * time.Second)
+		fleet.change(func() { fleet.asks = 10 * time.Second })
 		for fleet.distance("10.0.0.1:80") <= 0 {
 			advance(25 * time.Millisecond)
 		}
-		fleet.askForDistance(0)
+		fleet.change(func() { fleet.asks = 0 })
 		fleet.counts()
 		v.setDemand("m3")
 		advance(5 * time.Second)
@@ -214,12 +214,10 @@
 
 	It("loads an adapter although the only engine with its model is reporting", func() {
 		fleet := newFleet(clock, 1, 1)
-		for _, e := range fleet.engines {
-			e.models["m1"], e.models["m2"] = map[string]bool{}, map[string]bool{}
-		}
+		fleet.hold("m1", "m2")
 		v := startVM(fleet, 1)
 		advance(3 * time.Second)
-		fleet.setReportDelay(200 * time.Millisecond)
+		fleet.change(func() { fleet.reportDelay = 200 * time.Millisecond })
 		for fleet.reportsInProgress() == 0 {
 			advance(25 * time.Millisecond)
 		}
@@ -231,12 +229,10 @@
 
 	It("waits for the answer to an adapter load whose caller gives up, and goes on to the next", func() {
 		fleet := newFleet(clock, 1, 1)
-		for _, e := range fleet.engines {
-			e.models["m1"], e.models["m2"] = map[string]bool{}, map[string]bool{}
-		}
+		fleet.hold("m1", "m2")
 		v := startVM(fleet, 1)
 		advance(3 * time.Second)
-		fleet.setOrderDelay(300 * time.Millisecond)
+		fleet.change(func() { fleet.orderDelay = 300 * time.Millisecond })
 		load := func(ctx context.Context, adapter string) <-chan string {
 			done := make(chan string, 1)
 			go func() { done <- v.controller.LoadAdapter(ctx, "engines", "m1", adapter) }()
@@ -269,7 +265,7 @@
 		startVM(fleet, 1)
 		advance(15 * time.Second)
 		before := fleet.orderCount()
-		fleet.setReportDelay(400 * time.Millisecond)
+		fleet.change(func() { fleet.reportDelay = 400 * time.Millisecond })
 		advance(20 * time.Second)
 		Expect(fleet.orderCount()).To(Equal(before))
 	})
@@ -286,9 +282,7 @@
 
 	It("loads adapters, and unloads others when all slots are in use", func() {
 		fleet := newFleet(clock, 1, 1)
-		for _, e := range fleet.engines {
-			e.models["m1"] = map[string]bool{}
-		}
+		fleet.hold("m1")
 		v := startVM(fleet, 1)
 		advance(2 * time.Second)
 		loaded := 0
@@ -322,9 +316,7 @@
 		v := startVM(fleet, 1)
 		v.setDemand("m1")
 		advance(15 * time.Second)
-		fleet.mu.Lock()
-		fleet.lossRate = 1
-		fleet.mu.Unlock()
+		fleet.change(func() { fleet.lossRate = 1 })
 		v.setDemand("m2")
 		unloadOrder := func() (id, model string) {
 			fleet.mu.Lock()
--- a/internal/serving/enginecontrol/fleetsim_test.go
+++ b/internal/serving/enginecontrol/fleetsim_test.go
@@ -131,25 +131,6 @@
 	}
 }
 
-// askForDistance lets all engines ask for distance in their answers; zero ends that.
-func (f *fleetSim) askForDistance(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.asks = d
-}
-
-func (f *fleetSim) setOrderDelay(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.orderDelay = d
-}
-
-func (f *fleetSim) setReportDelay(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reportDelay = d
-}
-
 // stopAnswers lets the reports of the engines that hold the model time out.
 func (f *fleetSim) stopAnswers(model string) {
 	f.mu.Lock()
@@ -166,6 +147,22 @@
 	return f.reporting
 }
 
+// change makes a change to the simulation while it runs.
+func (f *fleetSim) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
+
+// hold gives models to all engines, before a VM starts.
+func (f *fleetSim) hold(models ...string) {
+	for _, e := range f.engines {
+		for _, m := range models {
+			e.models[m] = map[string]bool{}
+		}
+	}
+}
+
 // counts returns the calls and the permits since the last time, and resets both.
 func (f *fleetSim) counts() (calls, permits int) {
 	f.mu.Lock()
