--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -62,7 +62,10 @@
 
 // send starts a call on a new connection to one of the addresses, or to vm if it isn't
 // empty.
-func (q *requesters) send(c *call, vm string) *call {
+func (q *requesters) send(c *call, vm string) *call { return q.sendThen(c, vm, func() {}) }
+
+// sendThen is like send, and calls then when the call has ended.
+func (q *requesters) sendThen(c *call, vm string, then func()) *call {
 	q.mu.Lock()
 	q.count++
 	if c.id == "" {
@@ -73,6 +76,7 @@
 	q.wg.Add(1)
 	go func() {
 		defer q.wg.Done()
+		defer then()
 		c.vm = vm
 		if vm == "" {
 			c.vm = q.address()
--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -20,9 +21,9 @@
 type run struct {
 	id, engine, model, prefix, tenant string
 	// line is the target of the request line, path the path that it has for the engine.
-	line, path  string
-	at          time.Time
-	begun, done bool
+	line, path          string
+	at                  time.Time
+	begun, done, failed bool
 }
 
 // order is an order that reached an engine.
@@ -41,14 +42,15 @@
 	// which it is there again.
 	crashOn string
 	back    time.Duration
-	// orderTime is the time until an order is answered.
-	orderTime time.Duration
 	// events and gap describe the streams of the engine.
 	events int
 	gap    time.Duration
 	// work is the time of a plain request.
 	work  time.Duration
 	slots int
+	// failing is the share of plain requests that the engine fails with 503 after it has run
+	// them.
+	failing float64
 
 	mu       sync.Mutex
 	id       string
@@ -56,6 +58,10 @@
 	listener net.Listener
 	server   *http.Server
 	up       bool
+	// silent is set once the engine writes no entry any more; cutOff is the number of the
+	// requests that it ran when it left.
+	silent   bool
+	cutOff   int
 	models   []string
 	adapters map[string]bool
 	seq      int64
@@ -110,7 +116,7 @@
 func (e *engine) beat() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.up {
+	if !e.up || e.silent {
 		return
 	}
 	text := string(e.state(map[string]any{
@@ -165,6 +171,32 @@
 	time.AfterFunc(e.back, e.start)
 }
 
+// leave removes the engine's entry without a report that it drains, and ends its process
+// after a time; until then it goes on serving. It returns the engine's ID, and its entry.
+func (e *engine) leave(after time.Duration) (id, entry string) {
+	e.mu.Lock()
+	id, entry, server := e.id, e.lastRow, e.server
+	e.silent = true
+	e.mu.Unlock()
+	e.site.note("engine %s leaves: its entry is removed", id)
+	e.site.store.remove("servers", id)
+	time.AfterFunc(after, func() {
+		e.mu.Lock()
+		e.up = false
+		running := 0
+		for _, r := range e.runs {
+			if !r.done {
+				running++
+			}
+		}
+		e.cutOff = running
+		e.mu.Unlock()
+		_ = server.Close()
+		e.site.note("engine %s has left; %d requests that it ran are cut off", id, running)
+	})
+	return id, entry
+}
+
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Fireflypier-Request-Id")
 	if id != "" {
@@ -206,7 +238,7 @@
 	_, _ = w.Write(text)
 }
 
-// order carries out an order for an adapter; the engine answers it after orderTime.
+// order carries out an order for an adapter.
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Operation, Model, Adapter, Holder string
@@ -223,7 +255,6 @@
 	e.orders = append(e.orders, o)
 	e.mu.Unlock()
 	e.site.note("order at %s from %s fence %d: %s %s %s -> %d", o.engine, o.holder, o.fence, o.operation, o.model, o.adapter, status)
-	time.Sleep(e.orderTime)
 	w.WriteHeader(status)
 }
 
@@ -253,6 +284,7 @@
 
 // request runs a request of a caller.
 func (e *engine) request(w http.ResponseWriter, r *http.Request, id string) {
+	up := true
 	body, _ := io.ReadAll(r.Body)
 	model := r.Header.Get("Fireflypier-Model")
 	x := &run{id: id, model: model, prefix: r.Header.Get("Fireflypier-Prompt-Prefix"), line: r.RequestURI, path: r.URL.Path, tenant: r.Header.Get("Fireflypier-Tenant"), at: time.Now()}
@@ -272,7 +304,18 @@
 	w.Header().Set("Fireflypier-Server-Seal", "seal."+x.engine+"."+id)
 	if model == "" {
 		time.Sleep(e.work)
+		e.mu.Lock()
+		x.failed, up = rand.Float64() < e.failing, e.up
+		e.mu.Unlock()
+		if !up {
+			return
+		}
 		e.finish(x)
+		if x.failed {
+			e.site.note("engine %s has run request %s and fails it with 503", x.engine, id)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		_, _ = fmt.Fprintf(w, "answer %s", id)
 		return
 	}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -36,8 +36,9 @@
 var cases = map[string]func(s *site, trouble bool) (broken string){
 	"first-part": firstPart,
 	"batches":    batches,
-	"leader":     leader,
 	"path":       path,
+	"refused":    refused,
+	"odd-entry":  oddEntry,
 }
 
 func main() {
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -67,11 +67,19 @@
 	return s
 }
 
+// freePort returns a port that is free at an address, below those that the kernel gives to
+// outgoing connections.
 func freePort(ip string) int {
-	l, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	for range 1000 {
+		port := 12000 + rand.IntN(18000)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err == nil {
+			_ = l.Close()
+			return port
+		}
+	}
+	fail("no free port at %s", ip)
+	return 0
 }
 
 // note writes a line with the time since the start to the record.
