--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -38,7 +38,7 @@
 	"batches":    batches,
 	"path":       path,
 	"refused":    refused,
-	"odd-entry":  oddEntry,
+	"herd":       herd,
 }
 
 func main() {
