--- a/review/_standin/refused.go
+++ b/review/_standin/refused.go
@@ -22,7 +22,7 @@
 		time1 = 6500 * time.Millisecond
 	)
 	s.store.put("op", "config", plainConfig(7, "/puxa403/"))
-	for range 7 {
+	for range 8 {
 		s.startEngine(&engine{service: "app", slots: 6, work: 30 * time.Millisecond})
 	}
 	s.startNodes(3)
