--- a/review/_standin/herd.go
+++ b/review/_standin/herd.go
@@ -18,7 +18,7 @@
 	)
 	s.store.put("op", "config", plainConfig(7, "/puxa403/"))
 	start := func() *engine { return s.startEngine(&engine{service: "app", slots: 6, work: 250 * time.Millisecond}) }
-	for range 4 {
+	for range 8 {
 		start()
 	}
 	s.startNodes(vms)
