Logs: why a request is sent again, the status and runs of a failed one, the commit of the program

The lines of a repeated request did not say on what evidence it was sent again, 'request failed' had neither the caller's status nor the number of runs, and no line named the program's commit, so that a report could not name its landing. No decision changes. Tests: forward, platform and the programs build and pass as before.

--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -47,6 +47,7 @@
 	logOutput := logwriter.NewWriter(os.Stdout, clockwork.NewRealClock())
 	defer func() { _ = logOutput.Close() }()
 	logger := hclog.New(&hclog.LoggerOptions{Name: cfg.Name, Level: hclog.Info, JSONFormat: true, Output: logOutput})
+	logger.Info("program", "version", version, "commit", builtFrom())
 	targets := platform.NewTargetClient(transport.New(transport.WithDial(socket.Default().Dial)))
 	n, err := node.New(node.Config{
 		Settings:     cfg,
--- a/cmd/fireflypier/operate.go
+++ b/cmd/fireflypier/operate.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -141,10 +142,29 @@
 
 // Execute prints the version.
 func (c *versionCommand) Execute([]string) error {
-	fmt.Println("fireflypier", version)
+	fmt.Println("fireflypier", version, builtFrom())
 	return nil
 }
 
+// builtFrom returns the commit from which the program was built, with "+" if files had
+// changed since; empty if it was built without version control.
+func builtFrom() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	commit, changed := "", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			commit = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+"
+		}
+	}
+	return commit + changed
+}
+
 func printJSON(v any) error {
 	data, err := document.Encode(v)
 	if err != nil {
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -67,6 +67,8 @@
 		if !j.mayRepeat(ctx, result) {
 			return j.finalError(ctx, err)
 		}
+		j.log(j.f.Clock.Now()).Info("request will be sent again", "last_target", choice.Target.ID, "last_result", attemptResultName(result, err),
+			"sends", j.sends, "runs", j.runs, "resume_after", j.resumeAt(), "error", err)
 	}
 }
 
@@ -284,9 +286,7 @@
 	if j.customer != nil {
 		a.Customer = j.customer.Name
 	}
-	if j.stream != nil {
-		a.LastEvent = j.stream.resumeAt()
-	}
+	a.LastEvent = j.resumeAt()
 	j.log(now).Info("request sent", "target", c.Target.ID, "attempt", j.sends, "expected_ms", c.Expected.Milliseconds(),
 		"cached_tokens", c.Cached, "cost", j.cost, "candidates", c.Candidates, "left_ms", left.Milliseconds())
 	ticket := f.View.Begin(&c, &j.want, now)
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -417,12 +417,12 @@
 	took := now.Sub(r.Arrival)
 	f.Metrics.observeRequest(j.route.Kind.String(), outcome, took)
 	if err != nil {
-		f.Logger.Warn("request failed", "request", r.ID, "route", j.route.Name, "outcome", outcome, "error", err,
-			"sends", j.sends, "took_ms", took.Milliseconds())
+		f.Logger.Warn("request failed", "request", r.ID, "route", j.route.Name, "outcome", outcome, "status", failure.From(err).Answer().Status,
+			"header_written", j.headerWritten, "error", err, "sends", j.sends, "runs", j.runs, "took_ms", took.Milliseconds())
 		return
 	}
 	f.Logger.Info("request answered", "request", r.ID, "route", j.route.Name, "target", j.target, "status", j.status,
-		"sends", j.sends, "first_ms", j.timeToFirstEvent.Milliseconds(), "took_ms", took.Milliseconds())
+		"sends", j.sends, "runs", j.runs, "first_ms", j.timeToFirstEvent.Milliseconds(), "took_ms", took.Milliseconds())
 }
 
 var errCallerCanceled = errors.New("the caller has disconnected")
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -52,6 +52,15 @@
 	return strconv.FormatInt(s.last, 10)
 }
 
+// resumeAt returns the ID of the event after which the next attempt resumes the stream;
+// empty if none was written.
+func (j *job) resumeAt() string {
+	if j.stream == nil {
+		return ""
+	}
+	return j.stream.resumeAt()
+}
+
 // errInvalidEvents means that a target's events do not follow the last one written,
 // that an event exceeds maxEventBytes, or that events without a number exceed
 // maxUnnumberedBytes.
