Soak: reproduce streams that run at two engines (TWICE) and events of two runs in one answer (ORDER)

The soak plays what it did not: engines that work on after their connections are closed, open connections that go silent while new ones work, targets that fill up (queue, deadline in queue and in run), that answer before they have read the body, garble answers, end answers with their connections, or send events without numbers. Engines hold models at the start, so that streams can go on elsewhere: before, most requests of the specs of one trouble were refused for want of a model, and hardly any stream was sent a second time.

SOAK_PROGRAM runs the same soak against a program of another commit; SOAK_NODES also holds for the specs of one trouble.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -22,6 +22,9 @@
 	RefuseFrom []netip.Addr
 	// Freeze delays all data in both directions until the fault is removed.
 	Freeze bool
+	// FreezeOpen does the same, but only to the connections that are open when the
+	// fault is set; new ones work.
+	FreezeOpen bool
 	// Delay is the time by which each chunk of data is delayed.
 	Delay time.Duration
 	// DropAnswers discards all data from the server; data from the client is still
@@ -46,8 +49,10 @@
 	server   netip.AddrPort
 	done     chan struct{}
 
-	mu      sync.Mutex
-	fault   Fault
+	mu    sync.Mutex
+	fault Fault
+	// faults is the number of times that the faults were set.
+	faults  int
 	changed chan struct{}
 	conns   map[net.Conn]bool
 	held    int
@@ -85,6 +90,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
+	p.faults++
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -133,7 +139,7 @@
 	p.track(client, server)
 	defer p.untrack(client, server)
 	ended := make(chan struct{})
-	l := &link{proxy: p}
+	l := &link{proxy: p, faults: p.faultCount()}
 	go func() {
 		defer close(ended)
 		l.copyResponses(client, server)
@@ -174,6 +180,12 @@
 	return p.fault, p.changed
 }
 
+func (p *Proxy) faultCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
 // Held returns the number of chunks of data that contain RequestContains and that
 // Freeze or HoldAnswers currently delays.
 func (p *Proxy) Held() int {
--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -13,6 +13,9 @@
 // link is a client connection and the server connection to which it is forwarded.
 type link struct {
 	proxy *Proxy
+	// faults is the number of times that the proxy's faults had been set when the
+	// connection was accepted.
+	faults int
 
 	mu           sync.Mutex
 	requestBytes []byte
@@ -72,6 +75,7 @@
 	if fault.RequestContains != "" && !bytes.Contains(l.requestBytes, []byte(fault.RequestContains)) {
 		return Fault{}, changed
 	}
+	fault.Freeze = fault.Freeze || fault.FreezeOpen && l.faults < l.proxy.faultCount()
 	return fault, changed
 }
 
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -75,9 +77,9 @@
 	server := httptest.NewServer((&store{s.rows}).handler())
 	s.storeAddr = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	s.publish(1, `key-1","key-2`)
-	for range 3 {
+	for _, models := range [][]string{{"m1", "m2"}, {"m2", "m3"}, {"m3", "m1"}} {
 		s.startTarget("plain")
-		s.startTarget("engines")
+		s.startTarget("engines", models...)
 	}
 	for i := range nodes {
 		proxy, err := faultproxy.Start(s.storeAddr)
@@ -172,11 +174,12 @@
 	}
 }
 
-func (s *testSite) startTarget(pool string) {
+// startTarget starts a target of a pool that holds models.
+func (s *testSite) startTarget(pool string, models ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.targetsStarted++
-	t := &target{site: s, id: fmt.Sprintf("i-%d", s.targetsStarted), pool: pool, born: time.Now().UnixMilli()}
+	t := &target{site: s, id: fmt.Sprintf("i-%d", s.targetsStarted), pool: pool, models: models, born: time.Now().UnixMilli(), place: make(chan struct{}, 1)}
 	t.server = httptest.NewUnstartedServer(http.HandlerFunc(t.serve))
 	t.server.Config.ConnContext = withConn
 	t.server.Start()
@@ -187,6 +190,13 @@
 	s.rows.Put(rowstore.Targets, t.id, t.row())
 }
 
+// allTargets returns the targets that run.
+func (s *testSite) allTargets() []*target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.targets))
+}
+
 // putRow writes a target's row unless the target has been stopped. The caller
 // holds the target's mutex.
 func (s *testSite) putRow(t *target) {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -4,6 +4,7 @@
 //	go test ./tests/soak                                   the seeds of CI
 //	SOAK_SEEDS=1-50 SOAK_SECONDS=20 go test -timeout 2h ./tests/soak
 //	SOAK_NODES=16 SOAK_SEEDS=7 go test ./tests/soak        more processes
+//	SOAK_PROGRAM=PATH go test ./tests/soak                 a program built from another commit
 package soak
 
 import (
@@ -37,6 +38,10 @@
 const (
 	defaultNodes = 4
 	callers      = 6
+	// troubleNodes is the number of nodes before targets in trouble, callersPerNode that of
+	// the callers for each of them.
+	troubleNodes   = 3
+	callersPerNode = 8
 	// recoveryTime is the operators' limit for the time from the end of the last
 	// fault until requests are served again.
 	recoveryTime = 12 * time.Second
@@ -62,11 +67,11 @@
 )
 
 // nodes returns the number of node processes, from SOAK_NODES.
-func nodes() int {
+func nodes(byDefault int) int {
 	if n, err := strconv.Atoi(os.Getenv("SOAK_NODES")); err == nil {
 		return n
 	}
-	return defaultNodes
+	return byDefault
 }
 
 // schedule returns the seeds to run and how long faults are injected for each,
@@ -99,13 +104,16 @@
 	var err error
 	programs, err = fleet.Build(context.Background(), GinkgoT().TempDir())
 	Expect(err).NotTo(HaveOccurred())
+	if other := os.Getenv("SOAK_PROGRAM"); other != "" {
+		programs.Fireflypier = other
+	}
 })
 
 var _ = Describe("a site under faults", func() {
 	seeds, length := schedule()
 	for i, seed := range seeds {
 		It(fmt.Sprintf("meets its guarantees with seed %d", seed), func() {
-			s := startTestSite(fmt.Sprintf("soak-%d-", seed), byte(40+i%100), nodes())
+			s := startTestSite(fmt.Sprintf("soak-%d-", seed), byte(40+i%100), nodes(defaultNodes))
 			ctx, stop := context.WithCancel(context.Background())
 			var wg conc.WaitGroup
 			for c := range callers {
@@ -140,16 +148,17 @@
 var _ = Describe("a site before targets in trouble", func() {
 	for kind := noTrouble + 1; kind < troubles; kind++ {
 		It("keeps its promises while targets "+kind.String(), func() {
-			s := startTestSite("trouble-", troubleNetwork+byte(kind), 3)
-			s.mu.Lock()
-			for _, t := range s.targets {
+			s := startTestSite("trouble-", troubleNetwork+byte(kind), nodes(troubleNodes))
+			for _, t := range s.allTargets() {
 				t.setTrouble(kind)
 			}
-			s.mu.Unlock()
 			ctx, stop := context.WithTimeout(context.Background(), promiseTime)
 			defer stop()
 			var wg conc.WaitGroup
-			for c := range 4 * callers {
+			if kind == silencesOpen {
+				wg.Go(func() { s.silenceOpen(ctx) })
+			}
+			for c := range callersPerNode * len(s.nodes) {
 				wg.Go(func() { s.runCaller(ctx, c, rand.New(rand.NewPCG(uint64(kind), uint64(c)))) })
 			}
 			wg.Wait()
@@ -157,6 +166,7 @@
 			s.checkOverlaps()
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			AddReportEntry("answers by status", s.answersByStatus())
 			Expect(s.violations).To(BeEmpty(), "logs are kept in "+s.dir)
 		})
 	}
@@ -283,8 +293,13 @@
 	if !isStream(kind) {
 		return "answer " + id
 	}
+	return events(id, 0, eventsPerAnswer)
+}
+
+// events returns the events of the answer to a request after one number up to another.
+func events(id string, after, last int) string {
 	var b strings.Builder
-	for i := 1; i <= eventsPerAnswer; i++ {
+	for i := after + 1; i <= last; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i, id)
 	}
 	return b.String()
@@ -326,6 +341,16 @@
 	return maps.Clone(s.answers)
 }
 
+// answersByStatus counts what callers received; status 0 stands for none. The caller holds
+// the site's mutex.
+func (s *testSite) answersByStatus() map[int]int {
+	counts := make(map[int]int)
+	for _, a := range s.answers {
+		counts[a.status]++
+	}
+	return counts
+}
+
 // checkRecovered withdraws all keys but a new one and sends checksPerNode
 // requests to every node, and one with a withdrawn key, which must be refused. It
 // returns how many requests with the new key were served and how many were sent.
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -43,6 +45,10 @@
 	orderAt  time.Time
 	draining bool
 	trouble  trouble
+	// place holds one run, and waiting counts those that wait for it or have it, while the
+	// target fills up.
+	place   chan struct{}
+	waiting atomic.Int32
 	// limit is the limit that the target names, if it is above zero. Until distantUntil it
 	// turns requests away and wants none. calls has the times of all calls in that time.
 	limit        int
@@ -113,11 +119,11 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	stallAt := t.stallAt()
-	for i := last + 1; i <= eventsPerAnswer; i++ {
+	stallAt, late := t.stallAt()
+	for i := lastEvent(r) + 1; i <= eventsPerAnswer; i++ {
 		if i == stallAt {
 			<-r.Context().Done()
+			time.Sleep(late)
 		}
 		if r.Context().Err() != nil {
 			return
@@ -129,32 +135,32 @@
 }
 
 func (t *target) holds(model string) bool {
+	return slices.Contains(t.held(), model)
+}
+
+// held returns the models that the target holds.
+func (t *target) held() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, m := range t.models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return slices.Clone(t.models)
 }
 
 func (t *target) report(w http.ResponseWriter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	body := struct {
-		Models []held `json:"models"`
-		Busy   bool   `json:"busy"`
-		Seq    int64  `json:"seq"`
-		Born   int64  `json:"born"`
-	}{Models: []held{}, Busy: t.loading != "", Seq: t.seq, Born: t.born}
+		Models []heldModel `json:"models"`
+		Busy   bool        `json:"busy"`
+		Seq    int64       `json:"seq"`
+		Born   int64       `json:"born"`
+	}{Models: []heldModel{}, Busy: t.loading != "", Seq: t.seq, Born: t.born}
 	for _, m := range t.models {
-		body.Models = append(body.Models, held{Name: m, Version: 1})
+		body.Models = append(body.Models, heldModel{Name: m, Version: 1})
 	}
 	_ = json.MarshalWrite(w, &body)
 }
 
-type held struct {
+type heldModel struct {
 	Name    string `json:"name"`
 	Version int64  `json:"version"`
 }
--- a/tests/soak/trouble_test.go
+++ b/tests/soak/trouble_test.go
@@ -1,13 +1,18 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
+
+	"fireflypier.example/fireflypier/internal/faultproxy"
 )
 
 // trouble is a way in which a target misbehaves while it counts as sound.
@@ -33,6 +38,24 @@
 	closesIdle
 	// stalls begins streams and sends no further event from some point on.
 	stalls
+	// goesOn stalls, and works on for a while after the connection has been closed.
+	goesOn
+	// silencesOpen stalls, and the open connections to one engine after another go silent while
+	// new ones work.
+	silencesOpen
+	// fillsUp runs one request at a time, has one more wait, and refuses the others. It answers
+	// 503 if the deadline passes before the run, 504 if it passes in the run.
+	fillsUp
+	// answersEarly answers before it has read a long body, and reads on on the same connection.
+	answersEarly
+	// garbles runs requests and sends half an answer, bytes that are no answer, or more bytes
+	// after a whole one.
+	garbles
+	// endsWithConnection runs requests and sends answers without a length, which end with their
+	// connections.
+	endsWithConnection
+	// omitsNumbers sends events without numbers, and breaks off.
+	omitsNumbers
 	troubles
 )
 
@@ -40,16 +63,27 @@
 func (t trouble) String() string {
 	return [troubles]string{
 		"serve", "repeat refusals", "repeat refusals without an ID", "repeat answers", "fail after they have run requests", "break off",
-		"refuse early", "close idle connections", "stall",
+		"refuse early", "close idle connections", "stall", "go on after their connections are closed",
+		"find open connections silent", "fill up", "answer early", "garble answers", "end answers with connections",
+		"omit the numbers of events",
 	}[t]
 }
 
 const (
 	// troubleShare is the share of its requests at which a target in trouble misbehaves.
 	troubleShare = 0.1
+	// silentShare is the share of its streams that such a target stalls while its connections
+	// go silent: few requests are sent then.
+	silentShare = 0.5
 	// maxExtraDelay is the time after an answer within which more bytes follow, or the
 	// connection is closed.
 	maxExtraDelay = 30 * time.Millisecond
+	// lateTime is the time for which a target works on after a connection was closed.
+	lateTime = 1500 * time.Millisecond
+	// silenceTime is the time for which open connections are silent.
+	silenceTime = 2500 * time.Millisecond
+	// fullRunTime is the time that a run takes at a target that fills up.
+	fullRunTime = 40 * time.Millisecond
 )
 
 type connKey struct{}
@@ -125,23 +159,159 @@
 		return true
 	case closesIdle:
 		closeLater(r)
-	case noTrouble, stalls, troubles:
+	case fillsUp:
+		return t.refuseIfFull(w, r, id)
+	case answersEarly:
+		return t.answerEarly(w, r, id)
+	case garbles, endsWithConnection:
+		return t.answerRaw(w, r, kind, id)
+	case omitsNumbers:
+		return t.streamWithoutNumbers(w, r, id)
+	case noTrouble, stalls, goesOn, silencesOpen, troubles:
 	}
 	return false
 }
 
+// refuseIfFull refuses a request if another one waits, or if its deadline passes before
+// its run. It returns false if the target has room.
+func (t *target) refuseIfFull(w http.ResponseWriter, r *http.Request, id string) bool {
+	if t.waiting.Add(1) > 2 {
+		t.waiting.Add(-1)
+		refuse(w, id)
+		return true
+	}
+	defer t.waiting.Add(-1)
+	_, _ = io.Copy(io.Discard, r.Body)
+	limit, _ := strconv.Atoi(r.Header.Get("Fireflypier-Deadline-Ms"))
+	deadline := time.After(time.Duration(limit) * time.Millisecond)
+	select {
+	case t.place <- struct{}{}:
+		defer func() { <-t.place }()
+	case <-deadline:
+		refuse(w, id)
+		return true
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-time.After(rand.N(fullRunTime)):
+	case <-deadline:
+		defer t.site.recordRun(id, t.id)()
+		w.Header().Set("Fireflypier-Request-Id", id)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return true
+	}
+	return false
+}
+
+// answerEarly answers a request of a plain service before it has read the body, which it
+// reads and checks afterwards.
+func (t *target) answerEarly(w http.ResponseWriter, r *http.Request, id string) bool {
+	if t.pool == "engines" {
+		return false
+	}
+	defer t.site.recordRun(id, t.id)()
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	w.Header().Set("Fireflypier-Request-Id", id)
+	w.Header().Set("Fireflypier-Server-Seal", "seal-"+t.id)
+	body := "answer " + id
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = fmt.Fprint(w, body)
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(rand.N(maxExtraDelay))
+	got, err := io.ReadAll(r.Body)
+	if want := question(id); err == nil && !bytes.Equal(got, want) {
+		t.site.reportViolation("request %s has another body of %d bytes at %s", id, len(got), t.id)
+	}
+	return true
+}
+
+// answerRaw runs a request and writes an answer that net/http would not write.
+func (t *target) answerRaw(w http.ResponseWriter, r *http.Request, kind trouble, id string) bool {
+	_, _ = io.Copy(io.Discard, r.Body)
+	defer t.site.recordRun(id, t.id)()
+	head := []string{"HTTP/1.1 200 OK", "Fireflypier-Request-Id: " + id, "Fireflypier-Server-Seal: seal-" + t.id}
+	body, _ := strings.CutPrefix(expected(id, kindOf(r)), events(id, 0, lastEvent(r)))
+	whole := rawAnswer(head, body)
+	data := strings.Join(head, "\r\n") + "\r\n\r\n" + body
+	if kind == garbles {
+		data = []string{whole[:rand.IntN(len(whole))], "garbage\r\n" + whole, whole + "garbage", whole + rawAnswer(head, "more")}[rand.IntN(4)]
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = c.Write([]byte(data))
+	if kind == garbles {
+		time.Sleep(rand.N(maxExtraDelay))
+	}
+	_ = c.Close()
+	return true
+}
+
+// streamWithoutNumbers runs a request for a stream, sends events without numbers and
+// breaks off.
+func (t *target) streamWithoutNumbers(w http.ResponseWriter, r *http.Request, id string) bool {
+	if t.pool != "engines" {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	defer t.site.recordRun(id, t.id)()
+	w.Header().Set("Fireflypier-Request-Id", id)
+	w.Header().Set("Fireflypier-Server-Seal", "seal-"+t.id)
+	for range 1 + rand.IntN(3) {
+		_, _ = fmt.Fprintf(w, "data: unnumbered %s\n\n", id)
+		_ = http.NewResponseController(w).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// kindOf returns the kind of a request, which begins its path.
+func kindOf(r *http.Request) string {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return kind
+}
+
+// lastEvent returns the number of the event after which a request resumes; zero for none.
+func lastEvent(r *http.Request) int {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	return last
+}
+
+// silenceOpen has the connections that are open to one engine after another go silent until
+// ctx ends.
+func (s *testSite) silenceOpen(ctx context.Context) {
+	for ctx.Err() == nil {
+		p := s.oneOfEachPool()["engines"].proxy
+		p.SetFault(faultproxy.Fault{FreezeOpen: true})
+		time.Sleep(silenceTime)
+		p.SetFault(faultproxy.Fault{})
+	}
+}
+
 func (t *target) setTrouble(kind trouble) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.trouble = kind
 }
 
-// stallAt returns the event before which a stream stalls; zero for none.
-func (t *target) stallAt() int {
+// stallAt returns the event before which a stream stalls, zero for none, and the time for
+// which its run goes on after the connection was closed.
+func (t *target) stallAt() (event int, late time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.trouble != stalls || rand.Float64() >= troubleShare {
-		return 0
+	share := troubleShare
+	switch t.trouble {
+	case stalls:
+	case goesOn:
+		late = lateTime
+	case silencesOpen:
+		share = silentShare
+	default:
+		return 0, 0
+	}
+	if rand.Float64() >= share {
+		return 0, 0
 	}
-	return 1 + rand.IntN(eventsPerAnswer)
+	return 1 + rand.IntN(eventsPerAnswer), late
 }
