forward: hold data without a number until the event after it (ORDER)

What callers saw: a resumable stream, complete by its looks, with data of one engine's run and then the whole run of another. Cause: data without a number was passed on at once. When the engine broke off, the stream went on after the last number, or from its beginning, as if that data had not been written. Change: on routes whose streams may go on elsewhere, such data is held, within the bound that it had, and written with the next numbered event or at the end. If the engine breaks off it is dropped; nothing of that run then stands after the last number. Comments pass as before, and so does all data where no other engine can go on.

--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -311,6 +311,31 @@
 		}
 	})
 
+	// Guards against answers with data of two runs: an engine breaks off after data that has no
+	// number, and another one goes on after the last number (ORDER).
+	It("drops data without a number of an engine that breaks off", func() {
+		const data = "data: y\n\n"
+		for _, before := range []string{"", events("1")} {
+			sender.replies = []reply{{status: 200, body: before + data + ": none\n\n", breaks: true}, {status: 200, body: events("1", "2")}}
+			w, aborted, err := serve("/draft/1")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(aborted).To(BeFalse())
+			Expect(w.Body.String()).To(Equal(events("1", "2")))
+		}
+	})
+
+	It("passes data without a number on with the next event, or at the end", func() {
+		const data = "data: y\n\n"
+		sender.replies = []reply{{status: 200, body: data + events("1") + data}}
+		w, _, err := serve("/draft/1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Body.String()).To(Equal(data + events("1") + data))
+		sender.replies = []reply{{status: 200, body: events("1") + data, breaks: true}}
+		w, aborted, _ := serve("/once/1")
+		Expect(aborted).To(BeTrue())
+		Expect(w.Body.String()).To(Equal(events("1")+data), "no other engine can go on with it")
+	})
+
 	It("fails with little memory if plain answers never end, and serves others meanwhile", func() {
 		const many = 40
 		p.Customers[0].Rate = 0
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -24,6 +24,8 @@
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
+	// dataField begins a line of data; other fields and comments show the caller nothing.
+	dataField = []byte("data")
 )
 
 // stream writes the events of a streamed answer to the caller. It writes only
@@ -41,6 +43,10 @@
 	// once a whole event of it has arrived.
 	unnumbered int
 	begun      bool
+	// held is data without a number, up to the next event with one, if holds is set: another
+	// target could not go on after it.
+	holds bool
+	held  []byte
 }
 
 // resumeAt returns the ID of the event after which another target resumes the
@@ -73,10 +79,10 @@
 		return mayHaveRun, errors.New("the answer is not signed")
 	}
 	if j.stream == nil {
-		j.stream = &stream{w: j.w, controller: http.NewResponseController(j.w)}
+		j.stream = &stream{w: j.w, controller: http.NewResponseController(j.w), holds: j.route.Repeatable()}
 	}
 	s := j.stream
-	s.pending, s.unnumbered, s.begun = s.pending[:0], 0, false
+	s.pending, s.held, s.unnumbered, s.begun = s.pending[:0], nil, 0, false
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -91,6 +97,9 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(s.pending) == 0:
 			j.writeHeader(answer)
+			if writeErr := s.writeHeld(); writeErr != nil {
+				return j.handleWriteError(writeErr)
+			}
 			return done, nil
 		case errors.Is(err, io.EOF):
 			return mayHaveRun, &brokenAnswerError{cause: errors.New("the stream ended in the middle of an event"), begun: s.begun}
@@ -139,6 +148,9 @@
 			return err
 		}
 		if isNew {
+			if err := s.writeHeld(); err != nil {
+				return err
+			}
 			if _, err := s.w.Write(event); err != nil {
 				return errors.Wrap(err, "write event")
 			}
@@ -155,6 +167,14 @@
 	return errors.Wrap(s.controller.Flush(), "flush events")
 }
 
+// writeHeld writes the data that is held.
+func (s *stream) writeHeld() error {
+	held := s.held
+	s.held = nil
+	_, err := s.w.Write(held)
+	return errors.Wrap(err, "write event")
+}
+
 // isNext reports whether an event should be written. It returns false for an
 // event that was already written and errInvalidEvents after a gap.
 func (s *stream) isNext(event []byte) (bool, error) {
@@ -163,9 +183,14 @@
 		if s.unnumbered += len(event); s.unnumbered > maxUnnumberedBytes {
 			return false, errInvalidEvents
 		}
+		if s.holds && (len(s.held) > 0 || hasData(event)) {
+			s.held = append(s.held, event...)
+			return false, nil
+		}
 		return true, nil
 	}
 	if s.hasLast && id <= s.last {
+		s.held = nil // it came before an event that was written
 		return false, nil
 	}
 	if s.hasLast && id != s.last+1 {
@@ -188,3 +213,12 @@
 	}
 	return 0, false
 }
+
+func hasData(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
