--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -85,6 +85,9 @@
 	if result == notSent {
 		return true
 	}
+	if result == mayHaveRun && !j.awaitEnd(ctx) {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
@@ -95,6 +98,22 @@
 	return true
 }
 
+// awaitEnd waits until the last attempt has ended at its target, or the target cannot be
+// reached: a stream must not go on at a target while another one still works on it. It
+// returns false if that is not certain in the time of the request.
+func (j *job) awaitEnd(ctx context.Context) bool {
+	if j.route.Kind != policy.Stream {
+		return true
+	}
+	began := j.f.Clock.Now()
+	end := j.ending.Await(ctx)
+	now := j.f.Clock.Now()
+	j.f.Metrics.countEnd(end.String())
+	j.log(now).Info("attempt ended at its target", "target", j.tried[len(j.tried)-1], "attempt", j.sends,
+		"end", end.String(), "waited_ms", now.Sub(began).Milliseconds())
+	return end != transport.Unconfirmed
+}
+
 // finalError returns the failure that the caller gets, and refunds the cost of
 // a request that has not run.
 func (j *job) finalError(ctx context.Context, err error) error {
@@ -294,7 +313,11 @@
 		f.Placer.AddRunning(j.pool.Name, j.r.Model, j.r.Adapter, 1)
 		defer f.Placer.AddRunning(j.pool.Name, j.r.Model, j.r.Adapter, -1)
 	}
-	attemptCtx, cancel := context.WithCancel(ctx)
+	sendCtx := ctx
+	if j.route.Kind == policy.Stream && j.route.Repeatable() {
+		sendCtx, j.ending = transport.WithEnding(ctx)
+	}
+	attemptCtx, cancel := context.WithCancel(sendCtx)
 	defer cancel()
 	dog := j.watch(&c, left, cancel)
 	defer dog.stop()
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -24,6 +24,7 @@
 	"fireflypier.example/fireflypier/internal/serving/ratelimit"
 	"fireflypier.example/fireflypier/internal/serving/retrybudget"
 	"fireflypier.example/fireflypier/internal/serving/target"
+	"fireflypier.example/fireflypier/internal/transport"
 )
 
 // Placer records the demand for weights and has engines load them.
@@ -209,6 +210,8 @@
 	// headerWritten is set once the header of the answer is written.
 	headerWritten bool
 	stream        *stream
+	// ending is that of the last attempt.
+	ending *transport.Ending
 	// target and status are those of the answer; timeToFirstEvent is measured
 	// from the arrival of the request.
 	target           string
--- a/internal/serving/forward/metrics.go
+++ b/internal/serving/forward/metrics.go
@@ -15,6 +15,7 @@
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
+	ends     *prometheus.CounterVec
 	charges  *prometheus.CounterVec
 	rejected *prometheus.CounterVec
 	marks    *prometheus.CounterVec
@@ -43,6 +44,10 @@
 			Name: "fireflypier_serving_sends_total",
 			Help: "Sends to targets, by outcome.",
 		}, []string{"outcome"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflypier_serving_broken_stream_ends_total",
+			Help: "Streams that broke off and could go on at another target, by what is known of the first one.",
+		}, []string{"end"}),
 		charges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fireflypier_serving_rate_charges_total",
 			Help: "Charges to customers' rates, by result.",
@@ -77,7 +82,7 @@
 		marked(markDistance, func() int { _, n, _ := view.Marked(clock.Now()); return n }),
 		marked(markLimit, func() int { _, _, n := view.Marked(clock.Now()); return n }),
 	)
-	registry.MustRegister(m.requests, m.duration, m.sends, m.charges, m.rejected, m.marks, m.reserved, m.waits)
+	registry.MustRegister(m.requests, m.duration, m.sends, m.ends, m.charges, m.rejected, m.marks, m.reserved, m.waits)
 	return m
 }
 
@@ -88,6 +93,8 @@
 
 func (m *Metrics) countSend(outcome string) { m.sends.WithLabelValues(outcome).Inc() }
 
+func (m *Metrics) countEnd(end string) { m.ends.WithLabelValues(end).Inc() }
+
 // The results of charges and reservations, the reasons of rejections and the marks of targets, as metric labels.
 const (
 	chargeOwn          = "own_share"
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"fireflypier.example/fireflypier/internal/lingering"
 )
 
 const (
@@ -40,6 +42,7 @@
 type Transport struct {
 	pooled *http.Transport
 	single *http.Transport
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Option configures a Transport.
@@ -75,7 +78,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: lingering.New(c)}, nil
 	}
 	pooled := &http.Transport{
 		DialContext:         dial,
@@ -89,7 +92,7 @@
 	}
 	single := pooled.Clone()
 	single.DisableKeepAlives = true
-	return &Transport{pooled: pooled, single: single}
+	return &Transport{pooled: pooled, single: single, dial: o.dial}
 }
 
 type repeatableKey struct{}
@@ -125,7 +128,13 @@
 	if own || (empty && r.Context().Value(repeatableKey{}) == nil) {
 		base = t.single
 	}
-	trace := &requestTrace{}
+	ending, _ := r.Context().Value(endingKey{}).(*Ending)
+	trace := &requestTrace{ending: ending}
+	if ending != nil {
+		ending.mu.Lock()
+		ending.dial = t.dial
+		ending.mu.Unlock()
+	}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: trace.gotConn})
 	answer, err := base.RoundTrip(r.WithContext(ctx))
 	if err != nil && !trace.mayHaveSent() {
@@ -141,6 +150,9 @@
 			return nil, err
 		}
 	}
+	if ending != nil {
+		answer.Body = ending.observe(answer.Body)
+	}
 	return answer, nil
 }
 
@@ -152,14 +164,17 @@
 
 // requestTrace records the connections on which one request was sent.
 type requestTrace struct {
+	ending *Ending
+
 	mu    sync.Mutex
 	conns []connUse
 }
 
-// connUse is a connection and the number of bytes written to it before the request.
+// connUse is a connection, the number of its requests up to one, and the number of bytes
+// written to it before that request.
 type connUse struct {
-	conn   *conn
-	before int64
+	conn           *conn
+	number, before int64
 }
 
 func (t *requestTrace) gotConn(info httptrace.GotConnInfo) {
@@ -169,7 +184,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.conns = append(t.conns, connUse{conn: c, before: c.count()})
+	use := c.use()
+	t.conns = append(t.conns, use)
+	if t.ending != nil {
+		t.ending.add(use)
+	}
 }
 
 // mayHaveSent closes every connection of the request and reports whether a byte of
@@ -186,13 +205,14 @@
 	return sent
 }
 
-// conn is a connection that counts the bytes written to it.
+// conn is a connection that counts its requests and the bytes written to it.
 type conn struct {
-	net.Conn
+	*lingering.Conn
 
-	mu      sync.Mutex
-	written int64
-	sealed  bool
+	mu       sync.Mutex
+	requests int64
+	written  int64
+	sealed   bool
 }
 
 // Write implements net.Conn. It counts the bytes before it passes them to the kernel.
@@ -207,10 +227,32 @@
 	return c.Conn.Write(data)
 }
 
-func (c *conn) count() int64 {
+// use begins another request on the connection.
+func (c *conn) use() connUse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.written
+	c.requests++
+	c.SetLinger(false)
+	return connUse{conn: c, number: c.requests, before: c.written}
+}
+
+// linger sets whether the connection lingers when it is closed, unless a later request
+// uses it.
+func (u connUse) linger(lingers bool) {
+	u.conn.mu.Lock()
+	defer u.conn.mu.Unlock()
+	if u.conn.requests == u.number {
+		u.conn.SetLinger(lingers)
+	}
+}
+
+// end closes the connection, and reports whether a byte of the request was sent. It returns
+// false and does nothing if a later request uses the connection.
+func (u connUse) end() (sent bool) {
+	u.conn.mu.Lock()
+	current := u.conn.requests == u.number
+	u.conn.mu.Unlock()
+	return current && u.conn.seal() != u.before
 }
 
 // seal closes the connection, rejects later writes and returns the number of bytes
