--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -12,6 +13,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/serving/buffermemory"
+	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/logwriter"
 	"fireflypier.example/fireflypier/internal/serving/machine"
 	"fireflypier.example/fireflypier/internal/serving/node"
@@ -56,7 +59,7 @@
 		Engines:      targets,
 		DecodePolicy: platform.DecodePolicy,
 		DecodeTarget: platform.DecodeTarget,
-		Front:        platform.Front,
+		Front:        front(cfg, logger),
 		Directory:    platform.Directory,
 		Ready:        platform.Ready,
 		Logger:       logger,
@@ -70,6 +73,21 @@
 	return n.Run(ctx)
 }
 
+// bodyMemoryShare is the fraction of the process's memory limit for the bodies of requests
+// in progress. While it is collected, garbage can take as much again.
+const bodyMemoryShare = 0.2
+
+// front returns platform.Front with options for this VM.
+func front(cfg *machine.Settings, logger hclog.Logger) func(exchange.Handler, func() int64) http.Handler {
+	opts := []platform.FrontOption{platform.WithLogger(logger)}
+	if cfg.MemoryBytes > 0 {
+		opts = append(opts, platform.WithBodyMemory(buffermemory.New(int64(bodyMemoryShare*float64(cfg.MemoryBytes)))))
+	}
+	return func(serve exchange.Handler, bodyLimit func() int64) http.Handler {
+		return platform.Front(serve, bodyLimit, opts...)
+	}
+}
+
 // settingsPollInterval is the time between two reads of the settings file, which may
 // change without a signal.
 const settingsPollInterval = 5 * time.Second
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -432,7 +432,7 @@
 // release when the answer is no longer needed, also after an error.
 func (f *Forwarder) readAnswer(r io.Reader) (pieces [][]byte, release func(), err error) {
 	size, reserved := 0, int64(0)
-	release = func() { f.buffered.Add(-reserved) }
+	release = func() { f.buffered.Release(reserved) }
 	piece := make([]byte, 0, pieceBytes)
 	for {
 		n, err := r.Read(piece[len(piece):cap(piece)])
@@ -448,10 +448,10 @@
 		case len(piece) < cap(piece):
 			continue
 		}
-		reserved += pieceBytes
-		if f.buffered.Add(pieceBytes) > maxBufferedBytes {
+		if !f.buffered.Reserve(pieceBytes) {
 			return nil, release, errors.Errorf("answers of more than %d bytes are being read", maxBufferedBytes)
 		}
+		reserved += pieceBytes
 		pieces, piece = append(pieces, piece), make([]byte, 0, pieceBytes)
 	}
 }
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/serving/buffermemory"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/fleetview"
 	"fireflypier.example/fireflypier/internal/serving/policy"
@@ -74,8 +75,8 @@
 	mu sync.Mutex // guards Rates and Retries
 	// running is the number of requests that are being served.
 	running atomic.Int64
-	// buffered is the memory of the plain answers that are being read, in bytes.
-	buffered atomic.Int64
+	// buffered is the memory of the plain answers that are being read.
+	buffered *buffermemory.Budget
 	// work ends when giveUp is called, at the end of a departure.
 	work      context.Context //nolint:containedctx // ends all requests
 	giveUp    context.CancelFunc
@@ -88,7 +89,7 @@
 // New returns a Forwarder. Until Policy returns a configuration or PolicyLoaded
 // is called, its requests wait for up to policyWait.
 func New(p Config) *Forwarder {
-	f := &Forwarder{Config: p, policyLoaded: make(chan struct{})}
+	f := &Forwarder{Config: p, policyLoaded: make(chan struct{}), buffered: buffermemory.New(maxBufferedBytes)}
 	f.work, f.giveUp = context.WithCancel(context.Background())
 	return f
 }
