forward: repeat a request only if the configuration in force allows it (TWICE)

What callers could see: a request runs twice on a route that forbids it. Cause: whether a request may run again was decided by the route as it was when the request was taken. A configuration that arrived meanwhile, and is in force on this VM, was not asked. 'is not repeated once its route forbids it' fails without the change. Change: after an attempt that may have run, both the route of the request and the one that matches it now must allow another run; the watchdog cancels no attempt otherwise.

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -79,7 +79,7 @@
 	if ctx.Err() != nil || j.sends >= maxSends || j.runs >= j.route.MaxAttempts || j.deadline.Sub(f.Clock.Now()) < minTimeLeft {
 		return false
 	}
-	if result == mayHaveRun && !j.route.Repeatable() {
+	if result == mayHaveRun && !j.mayRunTwice() {
 		return false
 	}
 	if result == notSent {
@@ -98,6 +98,20 @@
 	return true
 }
 
+// mayRunTwice reports whether the request may run more than once, by its route as it was
+// taken and by the configuration in force now.
+func (j *job) mayRunTwice() bool {
+	if !j.route.Repeatable() {
+		return false
+	}
+	p := j.f.Policy()
+	if p == nil {
+		return true
+	}
+	current, ok := p.Route(j.r.HostName, j.r.Path)
+	return !ok || current.Repeatable()
+}
+
 // awaitEnd waits until the last attempt has ended at its target, or the target cannot be
 // reached: a stream must not go on at a target while another one still works on it. It
 // returns false if that is not certain in the time of the request.
@@ -401,7 +415,7 @@
 		// The caller would take the answer for a promise and send the request again.
 		return mayHaveRun, errors.Errorf("the target answered %d, and does not state that it has not run the request", answer.Status)
 	}
-	if answer.Status >= http.StatusInternalServerError && j.route.Repeatable() && j.mayTryOtherTarget() {
+	if answer.Status >= http.StatusInternalServerError && j.mayRunTwice() && j.mayTryOtherTarget() {
 		return mayHaveRun, errors.Errorf("the target answered %d", answer.Status)
 	}
 	if j.headerWritten {
--- a/internal/serving/forward/forward_test.go
+++ b/internal/serving/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -253,6 +254,26 @@
 		Entry("by an empty success", 204, false),
 	)
 
+	// Guards against requests that run twice although their route, changed meanwhile, forbids
+	// it (TWICE).
+	It("is not repeated once its route forbids it", func() {
+		changed := *p
+		changed.Routes = slices.Clone(p.Routes)
+		changed.Routes[0].Kind = policy.AtMostOnce
+		changed.Routes[2].Resumable = false
+		after := changed.Index()
+		sender.sent = func() { x.p = after }
+		sender.replies = []reply{{err: errReset}}
+		_, _, err := serve("/look/1")
+		Expect(kind(err)).To(Equal(failure.OutcomeUnknown))
+		Expect(sender.attempts).To(HaveLen(1))
+		x.p = p
+		sender.replies = []reply{{status: 200, body: events("1"), breaks: true}}
+		_, aborted, _ := serve("/draft/1")
+		Expect(aborted).To(BeTrue())
+		Expect(sender.attempts).To(HaveLen(2))
+	})
+
 	It("aborts a broken stream that may not be resumed", func() {
 		sender.replies = []reply{{status: 200, body: events("1"), breaks: true}}
 		w, aborted, _ := serve("/once/1")
--- a/internal/serving/forward/watchdog.go
+++ b/internal/serving/forward/watchdog.go
@@ -28,7 +28,7 @@
 // watch returns the watchdog of an attempt with the time left before its deadline.
 func (j *job) watch(c *fleetview.Choice, left time.Duration, cancel context.CancelFunc) *watchdog {
 	w := &watchdog{j: j, target: c.Target.ID, cancel: cancel}
-	if !j.route.Repeatable() || j.runs+1 >= j.route.MaxAttempts || c.Candidates < 2 {
+	if !j.mayRunTwice() || j.runs+1 >= j.route.MaxAttempts || c.Candidates < 2 {
 		return w
 	}
 	if j.route.Kind == policy.Stream {
@@ -59,7 +59,7 @@
 func (w *watchdog) fire() {
 	j := w.j
 	now := j.f.Clock.Now()
-	if j.deadline.Sub(now) < minTimeLeft {
+	if j.deadline.Sub(now) < minTimeLeft || !j.mayRunTwice() {
 		return
 	}
 	j.log(now).Info("attempt canceled, the target does not answer", "target", w.target)
