--- a/internal/lingering/lingering.go
+++ b/internal/lingering/lingering.go
@@ -3,12 +3,13 @@
 package lingering
 
 import (
-	"errors"
 	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -73,7 +73,8 @@
 }
 
 // mayRepeat reports whether another attempt is allowed after one that ended
-// with result. It charges the retry budget if the request reached the target.
+// with result. It charges the retry budget if the request reached the target, and waits
+// until the target of a broken stream has ended.
 func (j *job) mayRepeat(ctx context.Context, result attemptResult) bool {
 	f := j.f
 	if ctx.Err() != nil || j.sends >= maxSends || j.runs >= j.route.MaxAttempts || j.deadline.Sub(f.Clock.Now()) < minTimeLeft {
