--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -44,7 +44,9 @@
 	// answers has what callers received, by request ID.
 	answers    map[string]answer
 	violations []string
-	lastThaw   time.Time
+	// violationsByKind counts the violations by their formats.
+	violationsByKind map[string]int
+	lastThaw         time.Time
 	// disturbances are the faults of nodes and targets.
 	disturbances []disturbance
 	// published writes the last configuration again.
@@ -78,6 +80,7 @@
 	s := &testSite{
 		dir: dir, program: program, rows: fakestore.New(clockwork.NewRealClock()),
 		targets: map[string]*target{}, runs: map[string][]*run{}, answers: map[string]answer{},
+		violationsByKind: map[string]int{},
 	}
 	server := httptest.NewServer((&store{s.rows}).handler())
 	s.storeAddr = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
@@ -274,11 +277,16 @@
 	_, _ = fmt.Fprintf(f, "%s %s\n", time.Now().UTC().Format(time.RFC3339Nano), fmt.Sprintf(format, args...))
 }
 
-// reportViolation records a violation, which fails the test at its end.
+// reportViolation records a violation, once, which fails the test at its end.
 func (s *testSite) reportViolation(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+	text := fmt.Sprintf(format, args...)
+	if slices.Contains(s.violations, text) {
+		return
+	}
+	s.violations = append(s.violations, text)
+	s.violationsByKind[format]++
 }
 
 // run is one run of a request at a target; ended is zero until it has ended.
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -173,6 +173,7 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			AddReportEntry("answers by status", s.answersByStatus())
+			AddReportEntry("violations", s.violationsByKind)
 			Expect(s.violations).To(BeEmpty(), "logs are kept in "+s.dir)
 		})
 	}
