--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -202,6 +202,7 @@
 	s.targetsStarted++
 	t := &target{site: s, id: fmt.Sprintf("i-%d", s.targetsStarted), pool: pool, models: models, born: time.Now().UnixMilli(), place: make(chan struct{}, 1)}
 	t.server = httptest.NewUnstartedServer(http.HandlerFunc(t.serve))
+	t.server.Listener = &limitedListener{Listener: t.server.Listener, target: t}
 	t.server.Config.ConnContext = withConn
 	t.server.Start()
 	var err error
--- a/tests/soak/trouble_test.go
+++ b/tests/soak/trouble_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"fireflypier.example/fireflypier/internal/faultproxy"
@@ -56,6 +58,8 @@
 	endsWithConnection
 	// omitsNumbers sends events without numbers, and breaks off.
 	omitsNumbers
+	// limitsConns resets the connections beyond a few.
+	limitsConns
 	troubles
 )
 
@@ -65,7 +69,7 @@
 		"serve", "repeat refusals", "repeat refusals without an ID", "repeat answers", "fail after they have run requests", "break off",
 		"refuse early", "close idle connections", "stall", "go on after their connections are closed",
 		"find open connections silent", "fill up", "answer early", "garble answers", "end answers with connections",
-		"omit the numbers of events",
+		"omit the numbers of events", "reset connections beyond a few",
 	}[t]
 }
 
@@ -82,10 +86,48 @@
 	lateTime = 1500 * time.Millisecond
 	// silenceTime is the time for which open connections are silent.
 	silenceTime = 2500 * time.Millisecond
+	// maxConns is the number of connections that a target which limits them keeps.
+	maxConns = 3
 	// fullRunTime is the time that a run takes at a target that fills up.
 	fullRunTime = 40 * time.Millisecond
 )
 
+// limitedListener resets connections beyond maxConns while its target limits them.
+type limitedListener struct {
+	net.Listener
+	target *target
+	open   atomic.Int32
+}
+
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		limited := &limitedConn{Conn: c, open: &l.open}
+		if l.open.Add(1) <= maxConns || l.target.currentTrouble() != limitsConns {
+			return limited, nil
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = limited.Close()
+	}
+}
+
+// limitedConn counts as open until it is closed.
+type limitedConn struct {
+	net.Conn
+	open   *atomic.Int32
+	closed sync.Once
+}
+
+func (c *limitedConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 type connKey struct{}
 
 // withConn makes the connection of a request known to its handler.
@@ -120,9 +162,7 @@
 // misbehave serves a request by the target's trouble. It returns false if the request is
 // to be served as usual.
 func (t *target) misbehave(w http.ResponseWriter, r *http.Request, id string) bool {
-	t.mu.Lock()
-	kind := t.trouble
-	t.mu.Unlock()
+	kind := t.currentTrouble()
 	if kind == noTrouble || rand.Float64() >= troubleShare {
 		return false
 	}
@@ -167,7 +207,7 @@
 		return t.answerRaw(w, r, kind, id)
 	case omitsNumbers:
 		return t.streamWithoutNumbers(w, r, id)
-	case noTrouble, stalls, goesOn, silencesOpen, troubles:
+	case noTrouble, stalls, goesOn, silencesOpen, limitsConns, troubles:
 	}
 	return false
 }
@@ -295,13 +335,17 @@
 	t.trouble = kind
 }
 
+func (t *target) currentTrouble() trouble {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.trouble
+}
+
 // stallAt returns the event before which a stream stalls, zero for none, and the time for
 // which its run goes on after the connection was closed.
 func (t *target) stallAt() (event int, late time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	share := troubleShare
-	switch t.trouble {
+	switch t.currentTrouble() {
 	case stalls:
 	case goesOn:
 		late = lateTime
