--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fireflypier.example/fireflypier/internal/lingering"
 )
 
@@ -38,7 +40,9 @@
 
 // Transport is an http.RoundTripper whose errors wrap NotSentError if and only if no
 // byte of the request was written to a connection. It never sends a request twice,
-// unless WithRepeatable allows it. It is safe for concurrent use.
+// unless WithRepeatable allows it. A request with GetBody is tried again on another
+// connection if its first one was closed before a byte was written. It is safe for
+// concurrent use.
 type Transport struct {
 	pooled *http.Transport
 	single *http.Transport
@@ -118,10 +122,31 @@
 	return context.WithValue(ctx, checkKey{}, check)
 }
 
+// maxClosedConns bounds the closed connections on which one request is tried.
+const maxClosedConns = 3
+
 // RoundTrip sends r once, unless its context allows repetition. A request without a
 // body that must not be repeated uses a connection of its own, because http.Transport
 // repeats such a request if a reused connection breaks after the request was written.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	getBody := r.GetBody
+	r = r.WithContext(r.Context())
+	r.GetBody = nil // http.Transport would use it for requests that were written
+	for tried := 1; ; tried++ {
+		answer, err := t.send(r)
+		var unsent *NotSentError
+		// A connection that WithCheck or Ending closes can still be in the pool.
+		if err == nil || getBody == nil || tried == maxClosedConns || !errors.As(err, &unsent) || !errors.Is(err, net.ErrClosed) {
+			return answer, err
+		}
+		if r.Body, err = getBody(); err != nil {
+			return nil, NewNotSentError(err)
+		}
+	}
+}
+
+// send sends r on one connection.
+func (t *Transport) send(r *http.Request) (*http.Response, error) {
 	base := t.pooled
 	empty := r.Body == nil || r.Body == http.NoBody
 	own := r.Context().Value(ownConnectionKey{}) != nil
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -89,6 +89,26 @@
 		Entry("GET", http.MethodGet, ""),
 	)
 
+	// Guards against requests that fail because an earlier one on the same connection got the
+	// answer to another request.
+	It("sends a request on another connection if the pooled one was closed meanwhile", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		DeferCleanup(server.Close)
+		t := New()
+		rejected := WithCheck(ctx, func(*http.Response) error { return errors.New("another answer") })
+		for range 500 {
+			Expect(do(rejected, t, http.MethodPost, server.URL, "x")).NotTo(Succeed())
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("x"))
+			Expect(err).NotTo(HaveOccurred())
+			answer, err := t.RoundTrip(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Body.Close()).To(Succeed())
+		}
+	})
+
 	It("may repeat a repeatable request", func() {
 		server, _ := abortingServer()
 		t := New()
