forward: write nothing for each event when no data is held

Found on the last read: writeHeld passed an empty write to the caller's connection before each event of a stream. No behaviour changes.

--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -169,6 +169,9 @@
 
 // writeHeld writes the data that is held.
 func (s *stream) writeHeld() error {
+	if len(s.held) == 0 {
+		return nil
+	}
 	held := s.held
 	s.held = nil
 	_, err := s.w.Write(held)
