Soak: few targets that refuse most requests, and copies of the refusals (REFUSED, TWICE)

Cause: with three targets in a pool a request is hardly ever sent again to the target that has refused it, so the soak did not show whether the copy of a refusal counts for a later send of the same request.

Change: 16 specs with one, two and three targets of a pool that refuse half to nine tenths of the requests, and repeat the refusals: once or several times, at once, within 30 ms, in pieces, in one segment with the next answer; refusals with 503, 429 and 421; targets that change their IDs at one address; copies among killed, frozen and terminated VMs, a store that fails, and targets that fill up, limit or break connections; 408 and 421 after a run. All answers are now checked for 408 and 421 too, and a request that ran twice is also checked for a refusal. A target states in its 421 that it has not run the request, and repeats the ID, as the users' page says; it did neither before. VMs may repeat as often as they like in these specs.

--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -51,6 +51,38 @@
 	disturbances []disturbance
 	// published writes the last configuration again.
 	published func()
+
+	// targetsPerPool is the number of targets with which each pool starts; callers ask for
+	// models. bounds are those of the settings that a spec may change.
+	targetsPerPool int
+	models         []string
+	bounds         siteBounds
+	// refuser, if it is not nil, has all targets refuse requests.
+	refuser *refuser
+}
+
+// siteBounds are bounds in the settings of the nodes.
+type siteBounds struct {
+	retryRatio float64
+	retrySlack int
+}
+
+type siteOption func(*testSite)
+
+// withTargets sets the number of targets with which each pool starts, at most three. Callers
+// ask only for models that they hold.
+func withTargets(n int) siteOption {
+	return func(s *testSite) {
+		s.targetsPerPool = n
+		if n == 1 {
+			s.models = s.models[:2]
+		}
+	}
+}
+
+// withRetries has the nodes send requests again without a limit that they could reach.
+func withRetries() siteOption {
+	return func(s *testSite) { s.bounds = siteBounds{retryRatio: 10, retrySlack: 100_000} }
 }
 
 // node is one VM, on which a node process is restarted whenever it ends.
@@ -78,20 +110,23 @@
 // nodesPerTargets is the number of nodes for each three targets of a pool.
 const nodesPerTargets = 8
 
-func newTestSite(dir, program string, network byte, nodes int) *testSite {
+func newTestSite(dir, program string, network byte, nodes int, opts ...siteOption) *testSite {
 	s := &testSite{
 		dir: dir, program: program, rows: fakestore.New(clockwork.NewRealClock()),
 		targets: map[string]*target{}, runs: map[string][]*run{}, answers: map[string]answer{},
 		violationsByKind: map[string]int{},
+		targetsPerPool:   3 * max(1, nodes/nodesPerTargets), models: []string{"m1", "m2", "m3"},
+		bounds: siteBounds{retryRatio: 0.2, retrySlack: 52},
+	}
+	for _, opt := range opts {
+		opt(s)
 	}
 	server := httptest.NewServer((&store{s.rows}).handler())
 	s.storeAddr = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	s.publish(1, `key-1","key-2`)
-	for range max(1, nodes/nodesPerTargets) {
-		for _, models := range [][]string{{"m1", "m2"}, {"m2", "m3"}, {"m3", "m1"}} {
-			s.startTarget("plain")
-			s.startTarget("engines", models...)
-		}
+	for i := range s.targetsPerPool {
+		s.startTarget("plain")
+		s.startTarget("engines", [][]string{{"m1", "m2"}, {"m2", "m3"}, {"m3", "m1"}}[i%3]...)
 	}
 	for i := range nodes {
 		proxy, err := faultproxy.Start(s.storeAddr)
@@ -118,9 +153,9 @@
 internal_ports: [17600, 17615]
 seeds: ["%s"]
 limits: {memory_mb: 284}
-bounds: {grace_s: 4, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52, quota_window_s: 8, quota_overage: 0.1, quota_slack: 110000, lease_ms: 3000, ttl_max_s: 5}
+bounds: {grace_s: 4, budget_ratio: %g, budget_window_s: 10, budget_slack: %d, quota_window_s: 8, quota_overage: 0.1, quota_slack: 110000, lease_ms: 3000, ttl_max_s: 5}
 platform: {address: "%s"}
-`, n.name, n.ip, n.front(), n.addr(18224), n.addr(18220), n.addr(18229), seed, n.proxy.Addr())
+`, n.name, n.ip, n.front(), n.addr(18224), n.addr(18220), n.addr(18229), seed, s.bounds.retryRatio, s.bounds.retrySlack, n.proxy.Addr())
 	Expect(os.WriteFile(n.configFile, []byte(text), 0o600)).To(Succeed())
 }
 
@@ -201,7 +236,7 @@
 	defer s.mu.Unlock()
 	s.targetsStarted++
 	t := &target{site: s, id: fmt.Sprintf("i-%d", s.targetsStarted), pool: pool, models: models, born: time.Now().UnixMilli(), place: make(chan struct{}, 1)}
-	t.server = httptest.NewUnstartedServer(http.HandlerFunc(t.serve))
+	t.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { t.current().serve(w, r) }))
 	t.server.Listener = &limitedListener{Listener: t.server.Listener, target: t}
 	t.server.Config.ConnContext = withConn
 	t.server.Start()
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -191,10 +191,10 @@
 
 // startTestSite starts a site and waits until its nodes are ready. It is closed at the end
 // of the spec, and its logs are kept if the spec has failed; prefix begins their folder's name.
-func startTestSite(prefix string, network byte, nodes int) *testSite {
+func startTestSite(prefix string, network byte, nodes int, opts ...siteOption) *testSite {
 	dir, err := os.MkdirTemp("", prefix)
 	Expect(err).NotTo(HaveOccurred())
-	s := newTestSite(dir, programs.Fireflypier, network, nodes)
+	s := newTestSite(dir, programs.Fireflypier, network, nodes, opts...)
 	DeferCleanup(func() {
 		s.close()
 		if !CurrentSpecReport().Failed() {
@@ -335,7 +335,7 @@
 		if rand.Float64() < leaveShare {
 			time.AfterFunc(rand.N(maxStay), leave)
 		}
-		a := s.sendRequest(stay, client, n, kind, id, s.randomKey(r), fmt.Sprintf("m%d", 1+r.IntN(3)))
+		a := s.sendRequest(stay, client, n, kind, id, s.randomKey(r), s.models[r.IntN(len(s.models))])
 		leave()
 		s.recordAnswer(id, a)
 		s.checkAnswer(id, a)
@@ -362,18 +362,30 @@
 	return b.String()
 }
 
+// isPromise reports whether callers take a status for the promise that their request has not
+// run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // checkAnswer checks an answer against the number of times that targets ran the
 // request, and reports violations.
 func (s *testSite) checkAnswer(id string, a answer) {
 	runs := s.runCount(id)
-	switch {
-	case runsOnce(a.kind) && runs > 1:
+	if runsOnce(a.kind) && runs > 1 {
 		s.reportViolation("request %s (%s) ran %d times", id, a.kind, runs)
-	case a.status == http.StatusOK && a.complete && (a.body != expected(id, a.kind) || !a.sealed):
-		s.reportViolation("request %s (%s) got %q, sealed %t", id, a.kind, a.body, a.sealed)
-	case (a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable) && runs > 0:
+	}
+	if isPromise(a.status) && runs > 0 {
 		s.reportViolation("request %s (%s) was answered %d although a target ran it", id, a.kind, a.status)
-	case a.status == http.StatusNotFound || a.status == http.StatusForbidden:
+	}
+	if a.status == http.StatusOK && a.complete && (a.body != expected(id, a.kind) || !a.sealed) {
+		s.reportViolation("request %s (%s) got %q, sealed %t", id, a.kind, a.body, a.sealed)
+	}
+	if a.status == http.StatusNotFound || a.status == http.StatusForbidden {
 		s.reportViolation("request %s (%s) was answered %d", id, a.kind, a.status)
 	}
 }
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -54,6 +54,8 @@
 	limit        int
 	distantUntil time.Time
 	calls        []time.Time
+	// successor serves at the target's address after the target has ended.
+	successor atomic.Pointer[target]
 }
 
 // recordCall records a call, and has its answer say what the target wants. It returns the
@@ -84,7 +86,7 @@
 		t.report(w)
 		return
 	case r.Header.Get("Fireflypier-Expect-Instance") != t.id:
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		t.misdirect(w, r, id)
 		return
 	case r.URL.Path == "/order":
 		t.order(w, r)
@@ -100,10 +102,10 @@
 		return
 	}
 	if model := r.Header.Get("Fireflypier-Model"); model != "" && !t.holds(model) {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		t.misdirect(w, r, id)
 		return
 	}
-	if t.misbehave(w, r, id) {
+	if t.refuseOften(w, r, id) || t.misbehave(w, r, id) {
 		return
 	}
 	// Until it has read the body, net/http does not notice that the sender has left.
--- a/tests/soak/trouble_test.go
+++ b/tests/soak/trouble_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,6 +122,50 @@
 	net.Conn
 	open   *atomic.Int32
 	closed sync.Once
+
+	mu sync.Mutex // orders writes
+	// held is written in one segment with the next answer, before or after it.
+	held      []byte
+	heldAfter bool
+}
+
+// Write implements net.Conn.
+func (c *limitedConn) Write(data []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.held) == 0 {
+		return c.Conn.Write(data)
+	}
+	all := slices.Concat(c.held, data)
+	if c.heldAfter {
+		all = slices.Concat(data, c.held)
+	}
+	c.held = nil
+	if _, err := c.Conn.Write(all); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
+// hold keeps bytes for the segment of the next answer.
+func (c *limitedConn) hold(data string, after bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held, c.heldAfter = []byte(data), after
+}
+
+// writePieces writes data in several segments. Answers wait meanwhile.
+func (c *limitedConn) writePieces(data string, pieces int, pause time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range pieces {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		if _, err := c.Conn.Write([]byte(data[i*len(data)/pieces : (i+1)*len(data)/pieces])); err != nil {
+			return // the VM has closed the connection
+		}
+	}
 }
 
 func (c *limitedConn) Close() error {
