Docs: what the soak checks while targets refuse most requests

Cause: added specs, and checks of 408 and 421, which the page did not name. Nothing was run for it but go vet and the formatter.

--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -5,6 +5,7 @@
 //	SOAK_SEEDS=1-50 SOAK_SECONDS=20 go test -timeout 2h ./tests/soak
 //	SOAK_NODES=16 SOAK_SEEDS=7 go test ./tests/soak        more processes
 //	SOAK_PROGRAM=PATH go test ./tests/soak                 a program built from another commit
+//	SOAK_CALLERS=3 go test ./tests/soak                    callers for each process, in the specs of refusals
 package soak
 
 import (
