--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -348,8 +348,9 @@
 	ticket.End(result == mayHaveRun && ctx.Err() == nil, f.Clock.Now())
 	f.Metrics.countSend(attemptResultName(result, err))
 	if err != nil {
+		conn := j.history.Last()
 		j.log(f.Clock.Now()).Info("attempt ended without an answer", "target", c.Target.ID, "attempt", j.sends,
-			"status", answer.Status, "not_run", result == notRun, "error", err)
+			"status", answer.Status, "not_run", result == notRun, "connection", conn.Local, "reused", conn.Reused, "error", err)
 	}
 	return result, err
 }
@@ -386,7 +387,9 @@
 		j.recordBreak(ctx, t, false, err)
 	}
 	j.f.Metrics.countSend(attemptResultName(result, err))
-	j.log(now).Info("attempt failed", "target", t.ID, "attempt", j.sends, "not_sent", result == notSent, "error", err)
+	conn := j.history.Last()
+	j.log(now).Info("attempt failed", "target", t.ID, "attempt", j.sends, "not_sent", result == notSent,
+		"connection", conn.Local, "reused", conn.Reused, "error", err)
 	return result, err
 }
 
--- a/internal/serving/forward/ending_test.go
+++ b/internal/serving/forward/ending_test.go
@@ -31,7 +31,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &exchange.Answer{Status: res.StatusCode, Header: http.Header{}, Body: res.Body, Signed: true}, nil
+	return &exchange.Answer{
+		Status: res.StatusCode, Header: http.Header{}, Body: res.Body, Signed: true,
+		Refusal: res.StatusCode == http.StatusServiceUnavailable, NotRun: res.Header.Get("Not-Run") != "",
+	}, nil
 }
 
 // Guards against streams that go on at another engine while the one before still works on
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -211,8 +211,9 @@
 	// headerWritten is set once the header of the answer is written.
 	headerWritten bool
 	stream        *stream
-	// ending is that of the last attempt.
-	ending *transport.Ending
+	// history is that of all attempts, ending that of the last one.
+	history *transport.History
+	ending  *transport.Ending
 	// target and status are those of the answer; timeToFirstEvent is measured
 	// from the arrival of the request.
 	target           string
@@ -230,6 +231,7 @@
 	if err == nil {
 		ctx, cancel := j.withEnd(hr.Context())
 		defer cancel()
+		ctx, j.history = transport.WithHistory(ctx)
 		err = j.run(ctx)
 	}
 	f.finish(r, j, err)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -154,7 +154,11 @@
 		base = t.single
 	}
 	ending, _ := r.Context().Value(endingKey{}).(*Ending)
-	trace := &requestTrace{ending: ending}
+	history, _ := r.Context().Value(historyKey{}).(*History)
+	if history != nil {
+		history.setLast(Connection{})
+	}
+	trace := &requestTrace{ending: ending, history: history}
 	if ending != nil {
 		ending.mu.Lock()
 		ending.dial = t.dial
@@ -189,7 +193,8 @@
 
 // requestTrace records the connections on which one request was sent.
 type requestTrace struct {
-	ending *Ending
+	ending  *Ending
+	history *History
 
 	mu    sync.Mutex
 	conns []connUse
@@ -214,6 +219,9 @@
 	if t.ending != nil {
 		t.ending.add(use)
 	}
+	if t.history != nil {
+		t.history.setLast(Connection{Local: c.LocalAddr().String(), Reused: info.Reused})
+	}
 }
 
 // mayHaveSent closes every connection of the request and reports whether a byte of
