--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -72,9 +72,6 @@
 	// Repeatable allows the transport to send the request again if a reused
 	// connection turns out to be closed.
 	Repeatable bool
-	// TriedBefore is set if the request was sent to the target before: an answer to the
-	// earlier attempt must not be taken for one to this.
-	TriedBefore bool
 }
 
 // Answer is the header of a target's answer, with its body still to be read.
@@ -106,6 +103,7 @@
 type Sender interface {
 	// Send returns once the header of the target's answer has arrived. An error
 	// wraps transport.NotSentError if the request cannot have left the process;
-	// after any other error it may have run.
+	// after any other error it may have run. All sends of a request have the same
+	// transport.History in ctx, which keeps the answers to its attempts apart.
 	Send(ctx context.Context, r *Request, a *Attempt) (*Answer, error)
 }
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -124,7 +123,7 @@
 	end := j.ending.Await(ctx)
 	now := j.f.Clock.Now()
 	j.f.Metrics.countEnd(end.String())
-	j.log(now).Info("attempt ended at its target", "target", j.tried[len(j.tried)-1], "attempt", j.sends,
+	j.log(now).Info("attempt ended at its target", "target", j.lastTarget, "attempt", j.sends,
 		"end", end.String(), "waited_ms", now.Sub(began).Milliseconds())
 	return end != transport.Unconfirmed
 }
@@ -315,8 +314,7 @@
 	}
 	j.sends++
 	a := &exchange.Attempt{Target: c.Target, TimeLimit: left, Rank: j.want.Rank, Repeatable: j.route.Kind == policy.Idempotent}
-	a.TriedBefore = slices.Contains(j.tried, c.Target.ID)
-	j.tried = append(j.tried, c.Target.ID)
+	j.lastTarget = c.Target.ID
 	if j.customer != nil {
 		a.Customer = j.customer.Name
 	}
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -200,8 +200,8 @@
 	// reservations counts the lenders that were asked for calls to targets with limits.
 	reservations     int
 	adapterRequested bool
-	// tried holds the IDs of the targets to which the request was sent.
-	tried []string
+	// lastTarget is the ID of the target of the last attempt.
+	lastTarget string
 	// missingSince is when the request first found that no engine has loaded its
 	// weights; zero if that did not happen.
 	missingSince time.Time
--- a/internal/serving/forward/observe_test.go
+++ b/internal/serving/forward/observe_test.go
@@ -142,18 +142,4 @@
 		_, _, err = x.serve("/look/1")
 		Expect(err).NotTo(HaveOccurred())
 	})
-
-	// Guards against a refusal of the first attempt that is taken for one of the second (TWICE).
-	It("is sent on a new connection to a target that has refused it", func() {
-		sender.replies = []reply{{status: 503, notRun: true}, {status: 503, notRun: true}, {status: 503, notRun: true}}
-		_, _, err := x.serve("/look/1")
-		Expect(err).NotTo(HaveOccurred())
-		tried := map[string]bool{}
-		for _, a := range sender.attempts {
-			Expect(a.TriedBefore).To(Equal(tried[a.Target.ID]))
-			tried[a.Target.ID] = true
-		}
-		Expect(sender.attempts).To(HaveLen(4))
-		Expect(tried).To(HaveLen(3))
-	})
 })
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -41,8 +41,8 @@
 // Transport is an http.RoundTripper whose errors wrap NotSentError if and only if no
 // byte of the request was written to a connection. It never sends a request twice,
 // unless WithRepeatable allows it. A request with GetBody is tried again on another
-// connection if its first one was closed before a byte was written. It is safe for
-// concurrent use.
+// connection if its first one was closed before a byte was written. A request WithHistory
+// uses no connection on which it may have been sent before. It is safe for concurrent use.
 type Transport struct {
 	pooled *http.Transport
 	single *http.Transport
@@ -150,15 +150,16 @@
 	base := t.pooled
 	empty := r.Body == nil || r.Body == http.NoBody
 	own := r.Context().Value(ownConnectionKey{}) != nil
+	history, _ := r.Context().Value(historyKey{}).(*History)
+	address := poolAddress(r.URL)
+	if history != nil && !history.begin(address) {
+		own = true
+	}
 	if own || (empty && r.Context().Value(repeatableKey{}) == nil) {
 		base = t.single
 	}
 	ending, _ := r.Context().Value(endingKey{}).(*Ending)
-	history, _ := r.Context().Value(historyKey{}).(*History)
-	if history != nil {
-		history.setLast(Connection{})
-	}
-	trace := &requestTrace{ending: ending, history: history}
+	trace := &requestTrace{ending: ending, history: history, address: address}
 	if ending != nil {
 		ending.mu.Lock()
 		ending.dial = t.dial
@@ -195,6 +196,7 @@
 type requestTrace struct {
 	ending  *Ending
 	history *History
+	address string
 
 	mu    sync.Mutex
 	conns []connUse
@@ -220,7 +222,7 @@
 		t.ending.add(use)
 	}
 	if t.history != nil {
-		t.history.setLast(Connection{Local: c.LocalAddr().String(), Reused: info.Reused})
+		t.history.add(t.address, Connection{Local: c.LocalAddr().String(), Reused: info.Reused})
 	}
 }
 
