platform: 421 alone does not state that a request has not run (TWICE, REFUSED)

A request that must run at most once was then sent to another target after such an answer.

The target still counts as one without the weights for the view. Outcomes of orders are as before (421: misdirected).

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -88,7 +88,7 @@
 	// run. Without NotRun, the target has not made that promise.
 	Refusal bool
 	// Misdirected is set if another incarnation answered, or an engine without
-	// the weights.
+	// the weights. By itself it does not mean NotRun.
 	Misdirected bool
 	// Signed is set if the answer has the target's signature.
 	Signed bool
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -393,10 +393,10 @@
 
 // handleAnswer classifies an answer and writes it to the caller if it is final.
 func (j *job) handleAnswer(answer *exchange.Answer, ticket *fleetview.Ticket, dog *watchdog) (attemptResult, error) {
+	if answer.Misdirected {
+		ticket.Absent(j.f.Clock.Now())
+	}
 	if answer.NotRun {
-		if answer.Misdirected {
-			ticket.Absent(j.f.Clock.Now())
-		}
 		return notRun, errors.Errorf("the target answered %d without running the request", answer.Status)
 	}
 	j.runs++
