--- a/internal/plainroute/send.go
+++ b/internal/plainroute/send.go
@@ -124,9 +124,6 @@
 		Scheme: "http", Host: c.Address.String(),
 		Path: ex.r.URL.Path, RawPath: ex.r.URL.RawPath, RawQuery: ex.r.URL.RawQuery,
 	}
-	if ex.repeatable {
-		ctx = transport.WithRepeatable(ctx)
-	}
 	out, err := http.NewRequestWithContext(ctx, ex.r.Method, address.String(), reader)
 	if err != nil {
 		return nil, failure.Wrap(failure.BadRequest, err, "the request cannot be forwarded")
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -69,9 +69,6 @@
 	Rank int
 	// LastEvent overrides that of the request unless it is empty.
 	LastEvent string
-	// Repeatable allows the transport to send the request again if a reused
-	// connection turns out to be closed.
-	Repeatable bool
 }
 
 // Answer is the header of a target's answer, with its body still to be read.
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -313,7 +313,7 @@
 		}
 	}
 	j.sends++
-	a := &exchange.Attempt{Target: c.Target, TimeLimit: left, Rank: j.want.Rank, Repeatable: j.route.Kind == policy.Idempotent}
+	a := &exchange.Attempt{Target: c.Target, TimeLimit: left, Rank: j.want.Rank}
 	j.lastTarget = c.Target.ID
 	if j.customer != nil {
 		a.Customer = j.customer.Name
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -39,9 +40,9 @@
 func (e *NotSentError) Unwrap() error { return e.cause }
 
 // Transport is an http.RoundTripper whose errors wrap NotSentError if and only if no
-// byte of the request was written to a connection. It never sends a request twice,
-// unless WithRepeatable allows it. A request with GetBody is tried again on another
-// connection if its first one was closed before a byte was written. A request WithHistory
+// byte of the request was written to a connection. It never sends a request twice. A
+// request with GetBody is tried again on another connection if its first one was closed
+// before a byte was written. A request WithHistory
 // uses no connection on which it may have been sent before. It is safe for concurrent use.
 type Transport struct {
 	pooled *http.Transport
@@ -99,13 +100,6 @@
 	return &Transport{pooled: pooled, single: single, dial: o.dial}
 }
 
-type repeatableKey struct{}
-
-// WithRepeatable returns a context whose requests may be sent more than once.
-func WithRepeatable(ctx context.Context) context.Context {
-	return context.WithValue(ctx, repeatableKey{}, true)
-}
-
 type ownConnectionKey struct{}
 
 // WithOwnConnection returns a context whose requests use no connection that was used before.
@@ -125,9 +119,7 @@
 // maxClosedConns bounds the closed connections on which one request is tried.
 const maxClosedConns = 3
 
-// RoundTrip sends r once, unless its context allows repetition. A request without a
-// body that must not be repeated uses a connection of its own, because http.Transport
-// repeats such a request if a reused connection breaks after the request was written.
+// RoundTrip sends r once.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	getBody := r.GetBody
 	r = r.WithContext(r.Context())
@@ -148,44 +140,59 @@
 // send sends r on one connection.
 func (t *Transport) send(r *http.Request) (*http.Response, error) {
 	base := t.pooled
-	empty := r.Body == nil || r.Body == http.NoBody
 	own := r.Context().Value(ownConnectionKey{}) != nil
 	history, _ := r.Context().Value(historyKey{}).(*History)
 	address := poolAddress(r.URL)
 	if history != nil && !history.begin(address) {
 		own = true
 	}
-	if own || (empty && r.Context().Value(repeatableKey{}) == nil) {
+	if own {
 		base = t.single
 	}
 	ending, _ := r.Context().Value(endingKey{}).(*Ending)
-	trace := &requestTrace{ending: ending, history: history, address: address}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	trace := &requestTrace{ending: ending, history: history, address: address, cancel: cancel}
 	if ending != nil {
 		ending.mu.Lock()
 		ending.dial = t.dial
 		ending.mu.Unlock()
 	}
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: trace.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: trace.getConn, GotConn: trace.gotConn})
 	answer, err := base.RoundTrip(r.WithContext(ctx))
 	if err != nil && !trace.mayHaveSent() {
 		err = NewNotSentError(err)
 	}
 	if err != nil {
+		cancel(nil)
 		return nil, err
 	}
 	if check, ok := r.Context().Value(checkKey{}).(func(*http.Response) error); ok {
 		if err := check(answer); err != nil {
 			trace.mayHaveSent()
 			_ = answer.Body.Close() // the connection is closed
+			cancel(nil)
 			return nil, err
 		}
 	}
+	answer.Body = &answerBody{answer.Body, cancel}
 	if ending != nil {
 		answer.Body = ending.observe(answer.Body)
 	}
 	return answer, nil
 }
 
+// answerBody is the body of an answer. Close releases the context of the request.
+type answerBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	defer b.cancel(nil)
+	return b.ReadCloser.Close()
+}
+
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() {
 	t.pooled.CloseIdleConnections()
@@ -197,9 +204,23 @@
 	ending  *Ending
 	history *History
 	address string
+	// cancel ends the request.
+	cancel context.CancelCauseFunc
 
 	mu    sync.Mutex
 	conns []connUse
+	sent  bool
+}
+
+// errBroken means that a reused connection broke after a byte of the request was written.
+var errBroken = errors.New("the connection broke before an answer")
+
+// getConn is called when http.Transport looks for a connection: again if it is about to
+// repeat the request because a reused connection broke.
+func (t *requestTrace) getConn(string) {
+	if t.mayHaveSent() {
+		t.cancel(errBroken)
+	}
 }
 
 // connUse is a connection, the number of its requests up to one, and the number of bytes
@@ -216,6 +237,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.sent {
+		c.seal() // getConn came too late to keep http.Transport from it
+		return
+	}
 	use := c.use()
 	t.conns = append(t.conns, use)
 	if t.ending != nil {
@@ -231,13 +256,12 @@
 func (t *requestTrace) mayHaveSent() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sent := false
 	for _, use := range t.conns {
 		if use.conn.seal() != use.before {
-			sent = true
+			t.sent = true
 		}
 	}
-	return sent
+	return t.sent
 }
 
 // conn is a connection that counts its requests and the bytes written to it.
