--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -83,7 +83,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: lingering.New(c)}, nil
+		return newConn(c), nil
 	}
 	pooled := &http.Transport{
 		DialContext:         dial,
@@ -174,6 +174,7 @@
 			return nil, err
 		}
 	}
+	trace.accept()
 	answer.Body = &answerBody{answer.Body, cancel}
 	if ending != nil {
 		answer.Body = ending.observe(answer.Body)
@@ -251,6 +252,15 @@
 	}
 }
 
+// accept lets the next request use the connection of the answer.
+func (t *requestTrace) accept() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := len(t.conns); n > 0 {
+		t.conns[n-1].accept()
+	}
+}
+
 // mayHaveSent closes every connection of the request and reports whether a byte of
 // the request may have been sent.
 func (t *requestTrace) mayHaveSent() bool {
@@ -265,18 +275,37 @@
 }
 
 // conn is a connection that counts its requests and the bytes written to it.
+//
+// http.Transport puts a connection back into its pool before the answer to its last request
+// is checked, if that has no body. The next request is not written until the answer is
+// accepted.
 type conn struct {
 	*lingering.Conn
 
-	mu       sync.Mutex
-	requests int64
-	written  int64
-	sealed   bool
+	mu sync.Mutex
+	// decided is signaled when an answer is accepted, or the connection is sealed.
+	decided *sync.Cond
+	// requests counts the requests, accepted is the number of the last one whose answer was
+	// accepted.
+	requests, accepted int64
+	written            int64
+	sealed             bool
+	// lingers is set if the connection is to linger when it is closed during the last request.
+	lingers bool
+}
+
+func newConn(c net.Conn) *conn {
+	out := &conn{Conn: lingering.New(c)}
+	out.decided = sync.NewCond(&out.mu)
+	return out
 }
 
 // Write implements net.Conn. It counts the bytes before it passes them to the kernel.
 func (c *conn) Write(data []byte) (int, error) {
 	c.mu.Lock()
+	for !c.sealed && c.accepted < c.requests-1 {
+		c.decided.Wait()
+	}
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, net.ErrClosed
@@ -290,9 +319,31 @@
 func (c *conn) use() connUse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests++
-	c.SetLinger(false)
-	return connUse{conn: c, number: c.requests, before: c.written}
+	u := connUse{conn: c, number: c.requests + 1, before: c.written}
+	idle := c.accepted == c.requests
+	c.requests, c.lingers = u.number, false
+	if idle {
+		c.SetLinger(false)
+	}
+	return u
+}
+
+// isCurrent reports whether no later request may have been written to the connection. The
+// caller holds u.conn.mu.
+func (u connUse) isCurrent() bool {
+	return u.conn.requests == u.number || u.conn.accepted < u.number
+}
+
+// accept lets the next request use the connection.
+func (u connUse) accept() {
+	c := u.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepted = u.number
+	if c.requests != u.number {
+		c.SetLinger(c.lingers)
+	}
+	c.decided.Broadcast()
 }
 
 // linger sets whether the connection lingers when it is closed, unless a later request
@@ -301,6 +352,9 @@
 	u.conn.mu.Lock()
 	defer u.conn.mu.Unlock()
 	if u.conn.requests == u.number {
+		u.conn.lingers = lingers
+	}
+	if u.isCurrent() {
 		u.conn.SetLinger(lingers)
 	}
 }
@@ -309,18 +363,24 @@
 // false and does nothing if a later request uses the connection.
 func (u connUse) end() (sent bool) {
 	u.conn.mu.Lock()
-	current := u.conn.requests == u.number
+	current := u.isCurrent()
 	u.conn.mu.Unlock()
 	return current && u.conn.seal() != u.before
 }
 
-// seal closes the connection, rejects later writes and returns the number of bytes
-// written before.
-func (c *conn) seal() int64 {
+// Close implements net.Conn. It rejects later writes.
+func (c *conn) Close() error {
 	c.mu.Lock()
 	c.sealed = true
-	written := c.written
+	c.decided.Broadcast()
 	c.mu.Unlock()
-	_ = c.Close()
-	return written
+	return c.Conn.Close()
+}
+
+// seal closes the connection and returns the number of bytes written before.
+func (c *conn) seal() int64 {
+	_ = c.Close() // an error means that it was closed before
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
 }
