transport: replace a pooled connection that its target has closed before a byte was written

Only connections that this side had closed were replaced. A request with a body whose pooled connection the target ended between the choice and the first byte failed as 'not sent: server closed idle connection', and forward took the target for unreachable; one without a body was sent again by http.Transport.

Before: stale_test 'for a request with a body' failed with that error.

Passed with -race: transport (3 times).

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -125,10 +125,10 @@
 	r = r.WithContext(r.Context())
 	r.GetBody = nil // http.Transport would use it for requests that were written
 	for tried := 1; ; tried++ {
-		answer, err := t.send(r)
+		answer, reused, err := t.send(r)
 		var unsent *NotSentError
-		// A connection that WithCheck or Ending closes can still be in the pool.
-		if err == nil || getBody == nil || tried == maxClosedConns || !errors.As(err, &unsent) || !errors.Is(err, net.ErrClosed) {
+		// A connection that this side or the target closes can still be in the pool.
+		if err == nil || getBody == nil || tried == maxClosedConns || !errors.As(err, &unsent) || !reused || r.Context().Err() != nil {
 			return answer, err
 		}
 		if r.Body, err = getBody(); err != nil {
@@ -137,8 +137,8 @@
 	}
 }
 
-// send sends r on one connection.
-func (t *Transport) send(r *http.Request) (*http.Response, error) {
+// send sends r on one connection. reused is set if other requests had used that.
+func (t *Transport) send(r *http.Request) (_ *http.Response, reused bool, _ error) {
 	base := t.pooled
 	own := r.Context().Value(ownConnectionKey{}) != nil
 	history, _ := r.Context().Value(historyKey{}).(*History)
@@ -164,14 +164,14 @@
 	}
 	if err != nil {
 		cancel(nil)
-		return nil, err
+		return nil, trace.wasReused(), err
 	}
 	if check, ok := r.Context().Value(checkKey{}).(func(*http.Response) error); ok {
 		if err := check(answer); err != nil {
 			trace.mayHaveSent()
 			_ = answer.Body.Close() // the connection is closed
 			cancel(nil)
-			return nil, err
+			return nil, trace.wasReused(), err
 		}
 	}
 	trace.accept()
@@ -179,7 +179,7 @@
 	if ending != nil {
 		answer.Body = ending.observe(answer.Body)
 	}
-	return answer, nil
+	return answer, trace.wasReused(), nil
 }
 
 // answerBody is the body of an answer. Close releases the context of the request.
@@ -210,7 +210,9 @@
 
 	mu    sync.Mutex
 	conns []connUse
-	sent  bool
+	// reused is set if other requests had used the last connection, sent if a byte may have
+	// been sent.
+	reused, sent bool
 }
 
 // errBroken means that a reused connection broke after a byte of the request was written.
@@ -243,7 +245,7 @@
 		return
 	}
 	use := c.use()
-	t.conns = append(t.conns, use)
+	t.conns, t.reused = append(t.conns, use), info.Reused
 	if t.ending != nil {
 		t.ending.add(use)
 	}
@@ -252,6 +254,12 @@
 	}
 }
 
+func (t *requestTrace) wasReused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
+}
+
 // accept lets the next request use the connection of the answer.
 func (t *requestTrace) accept() {
 	t.mu.Lock()
