transport: write no request on a connection on which something has arrived since the last answer (LOST)

A copy of an answer, or the end of a connection, that arrives while the connection is idle is noticed by the goroutine of http.Transport that reads it. Where that is late, as on a machine short of processor time, the next request is written all the same, gets the copy or a reset, and may have run.

Before (stray_test, a reader that is late): requests after a whole answer too many, after one byte, after the end and after a reset failed, and none was sent on another connection. Requests without a body that must run at most once are exposed to this since they use kept connections.

Before the first byte of a request on a reused connection, the transport looks whether the kernel has something to read (one recvfrom, MSG_PEEK), and whether something was read since the connection was chosen. If so, the connection is closed and the request sent on another one; nothing was written.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -168,7 +168,9 @@
 	}
 	if check, ok := r.Context().Value(checkKey{}).(func(*http.Response) error); ok {
 		if err := check(answer); err != nil {
-			trace.mayHaveSent()
+			if !trace.mayHaveSent() {
+				err = NewNotSentError(err)
+			}
 			_ = answer.Body.Close() // the connection is closed
 			cancel(nil)
 			return nil, trace.wasReused(), err
@@ -296,8 +298,9 @@
 	// requests counts the requests, accepted is the number of the last one whose answer was
 	// accepted.
 	requests, accepted int64
-	written            int64
-	sealed             bool
+	// written counts the bytes written, begun those before the last request.
+	written, begun int64
+	sealed         bool
 	// lingers is set if the connection is to linger when it is closed during the last request.
 	lingers bool
 }
@@ -308,12 +311,33 @@
 	return out
 }
 
-// Write implements net.Conn. It counts the bytes before it passes them to the kernel.
+// awaitsFirstByte reports whether the last request is not the first one, and has not been
+// written yet: what arrives then is no part of its answer. The caller holds c.mu.
+func (c *conn) awaitsFirstByte() bool { return c.requests > 1 && c.written == c.begun }
+
+// Read implements net.Conn. It seals the connection if bytes arrive before the first byte of
+// a request is written.
+func (c *conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.awaitsFirstByte() {
+		c.sealed = true
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It counts the bytes before it passes them to the kernel. It
+// seals the connection if something has arrived before the first byte of a request.
 func (c *conn) Write(data []byte) (int, error) {
 	c.mu.Lock()
 	for !c.sealed && c.accepted < c.requests-1 {
 		c.decided.Wait()
 	}
+	if c.awaitsFirstByte() && c.arrived() {
+		c.sealed = true
+	}
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, net.ErrClosed
@@ -329,7 +353,7 @@
 	defer c.mu.Unlock()
 	u := connUse{conn: c, number: c.requests + 1, before: c.written}
 	idle := c.accepted == c.requests
-	c.requests, c.lingers = u.number, false
+	c.requests, c.begun, c.lingers = u.number, c.written, false
 	if idle {
 		c.SetLinger(false)
 	}
