transport: a probe that had no time does not show that a target is unreachable

A dialer may notice the deadline of the request before its context ends; Await then took the failed probe for a target that can't be reached, which lets a stream go on elsewhere. With so little time left forward sends nothing, so no harm is known.

Before: ending_test 'the time for the probe is over' failed every time with Unreachable. Since then 12 of 12 runs of the package passed with -race.

--- a/internal/transport/ending.go
+++ b/internal/transport/ending.go
@@ -122,13 +122,22 @@
 			_ = probe.Close()
 		case c.PeerEnded():
 			return Confirmed
-		case ctx.Err() == nil:
+		case isOver(ctx):
+			return Unconfirmed // the probe had no time
+		default:
 			return Unreachable
 		}
 		wait.Reset(probeInterval)
 	}
 }
 
+// isOver reports whether ctx has ended or its deadline has passed. A dialer may notice the
+// deadline first.
+func isOver(ctx context.Context) bool {
+	end, ok := ctx.Deadline()
+	return ctx.Err() != nil || (ok && !time.Now().Before(end))
+}
+
 // endingBody records in an Ending that it was read to its end.
 type endingBody struct {
 	io.ReadCloser
--- a/internal/transport/ending_test.go
+++ b/internal/transport/ending_test.go
@@ -111,6 +111,15 @@
 		Expect(worked).NotTo(BeClosed())
 	})
 
+	// Guards against probes that fail because their time is over, and are taken for targets that
+	// cannot be reached (TWICE).
+	It("is not that of a target that cannot be reached if the time for the probe is over", func(ctx SpecContext) {
+		ending, _, cancel := send(ctx, New(WithDial(dial)), "/stream")
+		lost.Store(true)
+		cancel()
+		Expect(ending.Await(overdueContext{ctx})).To(Equal(Unconfirmed))
+	})
+
 	It("is confirmed by a complete answer, whose connection is kept", func(ctx SpecContext) {
 		t := New(WithDial(dial))
 		job, end := context.WithCancel(ctx)
@@ -140,3 +149,8 @@
 		Consistently(read, "100ms").ShouldNot(BeClosed())
 	})
 })
+
+// overdueContext is a context whose deadline has passed, and which has not ended yet.
+type overdueContext struct{ context.Context }
+
+func (overdueContext) Deadline() (time.Time, bool) { return time.Now(), true }
