transport: bytes that the kernel has not taken were not sent (LOST)

The transport counts the bytes of a write before it makes it, and kept that count when the write failed. A request whose connection was reset before its first byte, as targets do with connections that they have no room for, counted as one that may have run: it was lost if it must run at most once.

Before: refused_write_test failed for a write of which the kernel takes no byte, with a body and without (not sent: expected true, got false). With one byte taken it counts as sent, before and now. A write that is still under way when the connection is closed counts as before.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -328,8 +328,9 @@
 	return n, err
 }
 
-// Write implements net.Conn. It counts the bytes before it passes them to the kernel. It
-// seals the connection if something has arrived before the first byte of a request.
+// Write implements net.Conn. It counts the bytes before it passes them to the kernel, and
+// takes back those that the kernel has not taken. It seals the connection if something has
+// arrived before the first byte of a request.
 func (c *conn) Write(data []byte) (int, error) {
 	c.mu.Lock()
 	for !c.sealed && c.accepted < c.requests-1 {
@@ -344,7 +345,13 @@
 	}
 	c.written += int64(len(data))
 	c.mu.Unlock()
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	if n < len(data) {
+		c.mu.Lock()
+		c.written -= int64(len(data) - n)
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 // use begins another request on the connection.
