--- a/internal/transport/handover_test.go
+++ b/internal/transport/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 
@@ -87,6 +88,20 @@
 		Expect(target.heads).NotTo(Receive())
 	})
 
+	It("is not used by the next request if an answer too many arrives meanwhile", func(ctx SpecContext) {
+		verdict = nil
+		first := begin(ctx)
+		second, history := follow(ctx)
+		_, err := io.WriteString(<-target.conns, success)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(second).Should(Receive(BeNil()))
+		Expect(history.Last().Reused).To(BeFalse())
+		Expect(target.heads).To(Receive())
+		Expect(target.heads).NotTo(Receive())
+		close(decided)
+		Eventually(first).Should(Receive(BeNil()))
+	})
+
 	It("does not keep the next request if that is canceled", func(ctx SpecContext) {
 		begin(ctx)
 		canceled, cancel := context.WithCancel(ctx)
--- a/internal/transport/repeat_test.go
+++ b/internal/transport/repeat_test.go
@@ -19,6 +19,8 @@
 type recorder struct {
 	address string
 	heads   chan string
+	// conns are the connections in the order of their begin.
+	conns chan net.Conn
 	// worksOn is set if the target does not close its side when the client has closed its own.
 	worksOn atomic.Bool
 }
@@ -28,7 +30,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
-	r := &recorder{address: l.Addr().String(), heads: make(chan string, 100)}
+	r := &recorder{address: l.Addr().String(), heads: make(chan string, 100), conns: make(chan net.Conn, 100)}
 	done := make(chan struct{})
 	DeferCleanup(func() { close(done) })
 	serve := func(c net.Conn) {
@@ -61,6 +63,7 @@
 			if err != nil {
 				return // the listener is closed
 			}
+			r.conns <- c
 			go serve(c)
 		}
 	}()
