transport: an answer that arrives before the request is written answers nothing (REFUSED, TWICE)

http.Transport puts a connection back into its pool before it looks for more bytes. A copy that came in one segment with an answer without a body is in its buffer then, where neither the kernel nor conn.Read shows it. If the next request takes the connection at that moment, it gets the copy as its answer before a byte of it is written, and may be written afterwards: the answer "not run" of another send with the same ID then passes the check, one with another ID costs the request.

The transport seals the connection if an answer begins before the first byte of its request is written, and the request is sent on another one, now also if it has no body (that retry is not shown by a spec by itself: net/http mostly repeats such a request by itself).

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -41,8 +41,8 @@
 
 // Transport is an http.RoundTripper whose errors wrap NotSentError if and only if no
 // byte of the request was written to a connection. It never sends a request twice. A
-// request with GetBody is tried again on another connection if its first one was closed
-// before a byte was written. A request WithHistory
+// request without a body or with GetBody is tried again on another connection if its first
+// one was closed before a byte was written. A request WithHistory
 // uses no connection on which it may have been sent before. It is safe for concurrent use.
 type Transport struct {
 	pooled *http.Transport
@@ -128,9 +128,13 @@
 		answer, reused, err := t.send(r)
 		var unsent *NotSentError
 		// A connection that this side or the target closes can still be in the pool.
-		if err == nil || getBody == nil || tried == maxClosedConns || !errors.As(err, &unsent) || !reused || r.Context().Err() != nil {
+		canRepeat := getBody != nil || r.Body == nil || r.Body == http.NoBody
+		if err == nil || !canRepeat || tried == maxClosedConns || !errors.As(err, &unsent) || !reused || r.Context().Err() != nil {
 			return answer, err
 		}
+		if getBody == nil {
+			continue
+		}
 		if r.Body, err = getBody(); err != nil {
 			return nil, NewNotSentError(err)
 		}
@@ -157,8 +161,12 @@
 		ending.dial = t.dial
 		ending.mu.Unlock()
 	}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: trace.getConn, GotConn: trace.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GetConn: trace.getConn, GotConn: trace.gotConn, GotFirstResponseByte: trace.answerBegins})
 	answer, err := base.RoundTrip(r.WithContext(ctx))
+	if err == nil && trace.early() {
+		_ = answer.Body.Close()
+		err = errEarly
+	}
 	if err != nil && !trace.mayHaveSent() {
 		err = NewNotSentError(err)
 	}
@@ -217,6 +225,9 @@
 	reused, sent bool
 }
 
+// errEarly means that an answer arrived before a byte of the request was written.
+var errEarly = errors.New("the answer belongs to an earlier request")
+
 // errBroken means that a reused connection broke after a byte of the request was written.
 var errBroken = errors.New("the connection broke before an answer")
 
@@ -256,6 +267,25 @@
 	}
 }
 
+// answerBegins is called before the first byte of the answer is read. That may have arrived
+// in one segment with an earlier answer, so that conn has not seen it: a request that is not
+// written yet is kept off the connection.
+func (t *requestTrace) answerBegins() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.conns) == 1 { // of more, it may be on any
+		t.conns[0].sealUnwritten()
+	}
+}
+
+// early reports whether no byte of the request was written to the connection of the answer.
+func (t *requestTrace) early() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := len(t.conns)
+	return n > 0 && t.conns[n-1].sealUnwritten()
+}
+
 func (t *requestTrace) wasReused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -385,6 +415,20 @@
 	c.decided.Broadcast()
 }
 
+// sealUnwritten rejects later writes if no byte of the request has been written, and reports
+// whether it does.
+func (u connUse) sealUnwritten() bool {
+	c := u.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.written != u.before {
+		return false
+	}
+	c.sealed = true
+	c.decided.Broadcast()
+	return true
+}
+
 // linger sets whether the connection lingers when it is closed, unless a later request
 // uses it.
 func (u connUse) linger(lingers bool) {
