--- a/internal/transport/ending.go
+++ b/internal/transport/ending.go
@@ -15,6 +15,9 @@
 	// probeTimeout is the time within which a target that can be reached accepts a
 	// connection. It ends well before callers of streams disconnect.
 	probeTimeout = 200 * time.Millisecond
+	// probeSlack is how much later a probe may end. A process that notices it later has had no
+	// processor time, and may have missed that the connection was opened.
+	probeSlack = 50 * time.Millisecond
 	// probeInterval is the time between two probes.
 	probeInterval = 500 * time.Millisecond
 )
@@ -114,6 +117,7 @@
 			return Unconfirmed
 		case <-wait.C:
 		}
+		began := time.Now()
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		probe, err := dial(probeCtx, "tcp", c.RemoteAddr().String())
 		cancel()
@@ -124,7 +128,7 @@
 			return Confirmed
 		case isOver(ctx):
 			return Unconfirmed // the probe had no time
-		default:
+		case time.Since(began) < probeTimeout+probeSlack:
 			return Unreachable
 		}
 		wait.Reset(probeInterval)
