--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -38,6 +38,8 @@
 	MaxCuts int
 	// HoldAnswers delays all data from the server until the fault is removed.
 	HoldAnswers bool
+	// HoldRequests does the same to all data from the client.
+	HoldRequests bool
 	// RequestContains limits the faults to connections on which the client has sent
 	// this text, for instance a path.
 	RequestContains string
@@ -104,6 +106,18 @@
 	}
 }
 
+// ResetAll resets all open connections.
+func (p *Proxy) ResetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() {
 	p.SetFault(Fault{})
@@ -187,7 +201,7 @@
 }
 
 // Held returns the number of chunks of data that contain RequestContains and that
-// Freeze or HoldAnswers currently delays.
+// Freeze, HoldAnswers or HoldRequests currently delays.
 func (p *Proxy) Held() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -79,13 +79,13 @@
 	return fault, changed
 }
 
-// wait blocks while Freeze or HoldAnswers applies to data and then for the delay. It
-// returns the faults that apply afterwards.
+// wait blocks while Freeze, HoldAnswers or HoldRequests applies to data and then for the
+// delay. It returns the faults that apply afterwards.
 func (l *link) wait(data []byte, fromServer bool) Fault {
 	counted := false
 	for {
 		fault, changed := l.fault()
-		if fault.Freeze || fromServer && fault.HoldAnswers {
+		if fault.Freeze || fromServer && fault.HoldAnswers || !fromServer && fault.HoldRequests {
 			if !counted && bytes.Contains(data, []byte(fault.RequestContains)) {
 				counted = true
 				l.proxy.addHeld(1)
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -57,6 +57,9 @@
 	targetsPerPool int
 	models         []string
 	bounds         siteBounds
+	// arrived, if it is set, is called as a request arrives at a target. The target serves it
+	// unless that returns true.
+	arrived atomic.Pointer[func(w http.ResponseWriter, r *http.Request, id string) bool]
 	// refuser, if it is not nil, has all targets refuse requests.
 	refuser *refuser
 }
@@ -91,6 +94,8 @@
 	ip         netip.Addr
 	proxy      *faultproxy.Proxy
 	configFile string
+	// link is the proxy through which callers reach the node; nil for none.
+	link *faultproxy.Proxy
 	// done is closed once no further process will be started.
 	done chan struct{}
 
@@ -142,6 +147,14 @@
 func (n *node) addr(port uint16) netip.AddrPort { return netip.AddrPortFrom(n.ip, port) }
 func (n *node) front() netip.AddrPort           { return n.addr(18221) }
 
+// entry returns the address to which callers connect.
+func (n *node) entry() netip.AddrPort {
+	if n.link != nil {
+		return n.link.Addr()
+	}
+	return n.front()
+}
+
 // configure writes a node's settings file.
 func (s *testSite) configure(n *node) {
 	n.configFile = filepath.Join(s.dir, n.name+".yaml")
@@ -222,6 +235,9 @@
 	for _, n := range s.nodes {
 		s.end(n)
 		n.proxy.Close()
+		if n.link != nil {
+			n.link.Close()
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -277,7 +277,7 @@
 	if sendsChunks(id) {
 		body = io.MultiReader(body)
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front().String()+"/"+kind+"/1", body)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entry().String()+"/"+kind+"/1", body)
 	if err != nil {
 		return answer{kind: kind, node: n.name}
 	}
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -105,6 +105,9 @@
 		t.misdirect(w, r, id)
 		return
 	}
+	if arrived := t.site.arrived.Load(); arrived != nil && (*arrived)(w, r, id) {
+		return
+	}
 	if t.refuseOften(w, r, id) || t.misbehave(w, r, id) {
 		return
 	}
