--- a/tests/soak/routes_test.go
+++ b/tests/soak/routes_test.go
@@ -180,18 +180,7 @@
 			return true
 		}
 		s.arrived.Store(&arrived)
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		var wg conc.WaitGroup
-		for i := range routeGroups {
-			wg.Go(func() {
-				id := fmt.Sprintf("broken-%d", i)
-				a := s.send(client, s.nodes[i%len(s.nodes)], i, id, fmt.Sprintf("m%d", 1+i%3))
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				s.answers[id] = a
-			})
-		}
-		wg.Wait()
+		s.sendEach("broken")
 		Expect(broken.Load()).To(BeEquivalentTo(len(routeGroups)))
 		s.checkRoutes()
 		s.testSite.mu.Lock()
@@ -201,6 +190,67 @@
 	})
 })
 
+// Guards against requests that are sent a third time after a refusal although one of their
+// attempts has run and a configuration is in force by then that allows one run (TWICE).
+var _ = Describe("a site whose routes change before a request that has run is refused", func() {
+	It("sends no request again that may run once now", func() {
+		s := startRoutesSite(routeSeeds[0])
+		route := routeState{Host: "h.example", Type: "safe", Service: "plain", TimeoutMS: 4000, ObjectiveMS: 1500, MaxAttempts: 3}
+		s.putSame(&route)
+		time.Sleep(applyTime)
+		route.Type = "unsafe"
+		var once sync.Once
+		var refused atomic.Int32
+		arrived := func(w http.ResponseWriter, r *http.Request, id string) bool {
+			s.mu.Lock()
+			s.arrivals[id] = append(s.arrivals[id], time.Now())
+			number := len(s.arrivals[id])
+			s.mu.Unlock()
+			switch number {
+			case 1:
+				_, _ = io.Copy(io.Discard, r.Body)
+				s.recordRun(id, r.Header.Get("Fireflypier-Expect-Instance"))()
+				panic(http.ErrAbortHandler)
+			case 2:
+				once.Do(func() { s.putSame(&route) })
+				time.Sleep(refusalTime)
+				refused.Add(1)
+				refuse(w, id)
+				return true
+			}
+			return false
+		}
+		s.arrived.Store(&arrived)
+		s.sendEach("refused")
+		Expect(refused.Load()).To(BeNumerically(">", 0))
+		s.checkRoutes()
+		s.testSite.mu.Lock()
+		defer s.testSite.mu.Unlock()
+		AddReportEntry("refused", refused.Load())
+		Expect(s.violations).To(BeEmpty(), "logs are kept in "+s.dir)
+	})
+})
+
+// refusalTime is the time after which targets refuse a request in this spec, in which nodes
+// learn of a configuration.
+const refusalTime = time.Second
+
+// sendEach sends one request on each route, each with a new connection.
+func (s *routesSite) sendEach(prefix string) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for i := range routeGroups {
+		wg.Go(func() {
+			id := fmt.Sprintf("%s-%d", prefix, i)
+			a := s.send(client, s.nodes[i%len(s.nodes)], i, id, fmt.Sprintf("m%d", 1+i%3))
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.answers[id] = a
+		})
+	}
+}
+
 // putSame writes the next configuration, in which all routes have the same state.
 func (s *routesSite) putSame(state *routeState) {
 	states := make([]routeState, len(routeGroups))
