Soak: wait until configurations are in force, not for a time

Cause: the specs of changing routes slept for the operators' limit.

Change: they wait for the line in the log of each node.

--- a/tests/soak/routes_test.go
+++ b/tests/soak/routes_test.go
@@ -153,7 +153,7 @@
 		s := startRoutesSite(routeSeeds[0])
 		stream := routeState{Host: "h.example", Type: "streaming", Service: "engines", TimeoutMS: 4000, ObjectiveMS: 400, GapMS: 200, MaxAttempts: 3, Resumable: true}
 		s.putSame(&stream)
-		time.Sleep(applyTime)
+		s.awaitApplied()
 		stream.Resumable = false
 		var once sync.Once
 		var broken atomic.Int32
@@ -197,7 +197,7 @@
 		s := startRoutesSite(routeSeeds[0])
 		route := routeState{Host: "h.example", Type: "safe", Service: "plain", TimeoutMS: 4000, ObjectiveMS: 1500, MaxAttempts: 3}
 		s.putSame(&route)
-		time.Sleep(applyTime)
+		s.awaitApplied()
 		route.Type = "unsafe"
 		var once sync.Once
 		var refused atomic.Int32
@@ -283,10 +283,20 @@
 	arrived := s.recordArrival
 	s.arrived.Store(&arrived)
 	s.putRoutes(rand.New(rand.NewPCG(seed, restartStream)), len(routeGroups))
-	time.Sleep(applyTime)
+	s.awaitApplied()
 	return s
 }
 
+// awaitApplied waits until the last configuration is in force at all nodes.
+func (s *routesSite) awaitApplied() {
+	last := firstRoutesVersion + len(s.versions) - 1
+	for _, n := range s.nodes {
+		Eventually(func() bool {
+			return slices.ContainsFunc(s.readLog(n).adoptions, func(a adoption) bool { return a.version == last })
+		}, "10s", "50ms").Should(BeTrue(), n.name+" does not use the last configuration")
+	}
+}
+
 // recordArrival records that a request arrives at a target, and delays or fails it. The
 // target does not notice a close of the connection meanwhile, unless it reads the body first.
 func (s *routesSite) recordArrival(w http.ResponseWriter, r *http.Request, id string) bool {
