--- a/tests/soak/routes_test.go
+++ b/tests/soak/routes_test.go
@@ -213,7 +213,7 @@
 				panic(http.ErrAbortHandler)
 			case 2:
 				once.Do(func() { s.putSame(&route) })
-				time.Sleep(refusalTime)
+				time.Sleep(lateRefusal)
 				refused.Add(1)
 				refuse(w, id)
 				return true
@@ -231,9 +231,9 @@
 	})
 })
 
-// refusalTime is the time after which targets refuse a request in this spec, in which nodes
+// lateRefusal is the time after which targets refuse a request in this spec, in which nodes
 // learn of a configuration.
-const refusalTime = time.Second
+const lateRefusal = time.Second
 
 // sendEach sends one request on each route, each with a new connection.
 func (s *routesSite) sendEach(prefix string) {
