forward: ask again after the wait for a broken stream whether it may run twice (TWICE)

A stream went on at a second target although the configuration in force at its VM allowed one run by then: whether it may run again was asked before the wait for the end of the last attempt, which takes up to its deadline, and not after.

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -85,7 +85,8 @@
 	if result == notSent {
 		return true
 	}
-	if result == mayHaveRun && !j.awaitEnd(ctx) {
+	// The configuration may have changed during the wait.
+	if result == mayHaveRun && (!j.awaitEnd(ctx) || !j.mayRunTwice()) {
 		return false
 	}
 	f.mu.Lock()
