Soak: give the specs of changing routes networks of their own

On several test processes at a time their nodes took each other's addresses: 2 of 2 and 2 of 3 specs failed without the configuration that they had written.

--- a/tests/soak/links_test.go
+++ b/tests/soak/links_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// linksNetwork is the network 127.0.x.0/24 of the first seed of these specs.
+	// linksNetwork is the network 127.0.x.0/24 of the first of these specs.
 	linksNetwork = 184
 	// returningPerNode is the number of callers of these specs for each node, maxReturning that
 	// of all. Each keeps keptConns connections: files of the test process are limited.
--- a/tests/soak/routes_test.go
+++ b/tests/soak/routes_test.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	// routesNetwork is the network 127.0.x.0/24 of these specs.
+	// routesNetwork is the network 127.0.x.0/24 of the first of these specs, which may run at
+	// the same time.
 	routesNetwork = 186
 	// routesTime is the time for which routes change, without SOAK_SECONDS.
 	routesTime = 4 * time.Second
@@ -122,7 +123,7 @@
 	seeds, length := seedsOr(routeSeeds, routesTime)
 	for _, seed := range seeds {
 		It(fmt.Sprintf("keeps its promises with seed %d", seed), func() {
-			s := startRoutesSite(seed)
+			s := startRoutesSite(seed, routesNetwork)
 			ctx, stop := context.WithCancel(context.Background())
 			var wg conc.WaitGroup
 			for c := range s.returning() {
@@ -150,7 +151,7 @@
 // force, while they waited for the end of the target before, that allows one run (TWICE).
 var _ = Describe("a site whose routes change while broken streams wait for their targets", func() {
 	It("sends no stream again that may run once now", func() {
-		s := startRoutesSite(routeSeeds[0])
+		s := startRoutesSite(routeSeeds[0], routesNetwork+1)
 		stream := routeState{Host: "h.example", Type: "streaming", Service: "engines", TimeoutMS: 4000, ObjectiveMS: 400, GapMS: 200, MaxAttempts: 3, Resumable: true}
 		s.putSame(&stream)
 		s.awaitApplied()
@@ -194,7 +195,7 @@
 // attempts has run and a configuration is in force by then that allows one run (TWICE).
 var _ = Describe("a site whose routes change before a request that has run is refused", func() {
 	It("sends no request again that may run once now", func() {
-		s := startRoutesSite(routeSeeds[0])
+		s := startRoutesSite(routeSeeds[0], routesNetwork+2)
 		route := routeState{Host: "h.example", Type: "safe", Service: "plain", TimeoutMS: 4000, ObjectiveMS: 1500, MaxAttempts: 3}
 		s.putSame(&route)
 		s.awaitApplied()
@@ -265,9 +266,9 @@
 var answerTroubles = []trouble{noTrouble, repeatsRefusals, failsAfterRun, breaksOff, refusesEarly, closesIdle, stalls, goesOn, fillsUp, answersEarly}
 
 // startRoutesSite starts a site with the first routes of a seed.
-func startRoutesSite(seed uint64) *routesSite {
+func startRoutesSite(seed uint64, network byte) *routesSite {
 	s := &routesSite{
-		testSite: startTestSite(fmt.Sprintf("routes-%d-", seed), routesNetwork, nodes(troubleNodes)),
+		testSite: startTestSite(fmt.Sprintf("routes-%d-", seed), network, nodes(troubleNodes)),
 		answers:  map[string]routeAnswer{}, arrivals: map[string][]time.Time{}, counts: map[string]int{},
 	}
 	for range len(s.allTargets()) / 2 {
