forward: ask also after a refusal whether a request that has run may run again (TWICE)

A request whose first attempt may have run, and whose next one was refused a second later, was sent a third time although the configuration in force allowed one run by then: the question was asked only if the last attempt may have run.

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -79,7 +79,7 @@
 	if ctx.Err() != nil || j.sends >= maxSends || j.runs >= j.route.MaxAttempts || j.deadline.Sub(f.Clock.Now()) < minTimeLeft {
 		return false
 	}
-	if result == mayHaveRun && !j.mayRunTwice() {
+	if j.runs > 0 && !j.mayRunTwice() {
 		return false
 	}
 	if result == notSent {
