--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -49,6 +49,8 @@
 	lastThaw         time.Time
 	// disturbances are the faults of nodes and targets.
 	disturbances []disturbance
+	// deadly holds, by its body, what happened to each request that crashes targets.
+	deadly map[string]*deadlyRequest
 	// published writes the last configuration again.
 	published func()
 
@@ -119,7 +121,7 @@
 	s := &testSite{
 		dir: dir, program: program, rows: fakestore.New(clockwork.NewRealClock()),
 		targets: map[string]*target{}, runs: map[string][]*run{}, answers: map[string]answer{},
-		violationsByKind: map[string]int{},
+		violationsByKind: map[string]int{}, deadly: map[string]*deadlyRequest{},
 		targetsPerPool:   3 * max(1, nodes/nodesPerTargets), models: []string{"m1", "m2", "m3"},
 		bounds: siteBounds{retryRatio: 0.2, retrySlack: 52},
 	}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -271,12 +271,17 @@
 // sendRequest sends one request to a node and waits at most 5 s for its answer. The body is
 // sent in chunks if its length is not known to net/http.
 func (s *testSite) sendRequest(ctx context.Context, client *http.Client, n *node, kind, id, key, model string) answer {
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
 	var body io.Reader = bytes.NewReader(question(id))
 	if sendsChunks(id) {
 		body = io.MultiReader(body)
 	}
+	return s.sendBody(ctx, client, n, kind, id, key, model, body)
+}
+
+// sendBody does the same with a body of its own.
+func (s *testSite) sendBody(ctx context.Context, client *http.Client, n *node, kind, id, key, model string, body io.Reader) answer {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entry().String()+"/"+kind+"/1", body)
 	if err != nil {
 		return answer{kind: kind, node: n.name}
--- a/tests/soak/target_test.go
+++ b/tests/soak/target_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -112,10 +113,14 @@
 		return
 	}
 	// Until it has read the body, net/http does not notice that the sender has left.
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		panic(http.ErrAbortHandler) // the request is not complete
 	}
 	defer t.site.recordRun(id, t.id)()
+	if bytes.HasPrefix(body, []byte(deadlyMark)) {
+		t.crash(string(body))
+	}
 	w.Header().Set("Fireflypier-Request-Id", id)
 	w.Header().Set("Fireflypier-Server-Seal", "seal-"+t.id)
 	if t.pool != "engines" {
