forward: log which request a target broke off, by a fingerprint that it has each time it comes

Nothing in the logs told that the requests under which engines crash were one and the same: IDs and VMs differ, and path, caller and body are not logged. No decision changes.

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"fireflypier.example/fireflypier/internal/serving/fingerprint"
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
 
@@ -42,6 +43,8 @@
 	Sized                      bool
 	// Prefix lists the parts of the prompt that may be shared, in order.
 	Prefix []PromptPart
+	// Fingerprint recognizes the request when it comes again; zero until its caller is known.
+	Fingerprint fingerprint.Fingerprint
 }
 
 // Tokens returns the size that the caller states for prompt and answer.
--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -314,11 +314,8 @@
 		}
 	}
 	j.sends++
-	a := &exchange.Attempt{Target: c.Target, TimeLimit: left, Rank: j.want.Rank}
+	a := &exchange.Attempt{Target: c.Target, TimeLimit: left, Rank: j.want.Rank, Customer: j.customerName()}
 	j.lastTarget = c.Target.ID
-	if j.customer != nil {
-		a.Customer = j.customer.Name
-	}
 	a.LastEvent = j.resumeAt()
 	j.log(now).Info("request sent", "target", c.Target.ID, "attempt", j.sends, "expected_ms", c.Expected.Milliseconds(),
 		"cached_tokens", c.Cached, "cost", j.cost, "candidates", c.Candidates, "left_ms", left.Milliseconds())
--- a/internal/serving/forward/forward.go
+++ b/internal/serving/forward/forward.go
@@ -19,6 +19,7 @@
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/serving/buffermemory"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/fingerprint"
 	"fireflypier.example/fireflypier/internal/serving/fleetview"
 	"fireflypier.example/fireflypier/internal/serving/policy"
 	"fireflypier.example/fireflypier/internal/serving/quarantine"
@@ -281,6 +282,7 @@
 	if !ok {
 		return j, failure.New(failure.Internal, "the route's pool does not exist")
 	}
+	r.Fingerprint = fingerprint.Of(j.customerName(), r.Body, r.Method, r.HostName, r.URI)
 	j.setDeadline()
 	if err := j.checkDeparture(); err != nil {
 		return j, err
@@ -402,11 +404,15 @@
 
 // log returns a logger with the fields of the request.
 func (j *job) log(now time.Time) hclog.Logger {
-	customer := ""
-	if j.customer != nil {
-		customer = j.customer.Name
+	return j.f.Logger.With("request", j.r.ID, "route", j.route.Name, "customer", j.customerName(), "age_ms", now.Sub(j.r.Arrival).Milliseconds())
+}
+
+// customerName returns the name of the customer; empty if the request has none.
+func (j *job) customerName() string {
+	if j.customer == nil {
+		return ""
 	}
-	return j.f.Logger.With("request", j.r.ID, "route", j.route.Name, "customer", customer, "age_ms", now.Sub(j.r.Arrival).Milliseconds())
+	return j.customer.Name
 }
 
 // finish logs the end of a request and counts it; j is nil if admit found
--- a/internal/serving/forward/metrics.go
+++ b/internal/serving/forward/metrics.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -20,6 +21,7 @@
 	rejected *prometheus.CounterVec
 	marks    *prometheus.CounterVec
 	reserved *prometheus.CounterVec
+	breaks   *prometheus.CounterVec
 	waits    prometheus.Histogram
 }
 
@@ -56,6 +58,10 @@
 			Name: "fireflypier_serving_rejections_total",
 			Help: "Requests rejected because no target can serve them in time, by reason.",
 		}, []string{"reason"}),
+		breaks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflypier_serving_target_breaks_total",
+			Help: "Attempts that targets broke off, by whether they had begun to answer.",
+		}, []string{"begun"}),
 		marks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fireflypier_serving_target_marks_total",
 			Help: "Answers in which a target said that it leaves, wants no requests for a while or has another limit.",
@@ -82,7 +88,7 @@
 		marked(markDistance, func() int { _, n, _ := view.Marked(clock.Now()); return n }),
 		marked(markLimit, func() int { _, _, n := view.Marked(clock.Now()); return n }),
 	)
-	registry.MustRegister(m.requests, m.duration, m.sends, m.ends, m.charges, m.rejected, m.marks, m.reserved, m.waits)
+	registry.MustRegister(m.requests, m.duration, m.sends, m.ends, m.charges, m.rejected, m.marks, m.reserved, m.breaks, m.waits)
 	return m
 }
 
@@ -120,6 +126,10 @@
 
 func (m *Metrics) countCharge(result string) { m.charges.WithLabelValues(result).Inc() }
 
+func (m *Metrics) countBreak(begun bool) {
+	m.breaks.WithLabelValues(strconv.FormatBool(begun)).Inc()
+}
+
 func (m *Metrics) countMark(mark string) { m.marks.WithLabelValues(mark).Inc() }
 
 func (m *Metrics) countReservation(reserved bool, err error) {
--- a/internal/serving/forward/observe.go
+++ b/internal/serving/forward/observe.go
@@ -34,7 +34,7 @@
 	}
 	after = spread(after)
 	j.f.Metrics.countRejection(rejectQuarantined)
-	j.log(now).Info("request refused, engines crash on a part of its prompt", "part", part, "sends", j.sends, "retry_after_ms", after.Milliseconds())
+	j.log(now).Info("request refused, engines crash on a part of its prompt", "part", part, "fingerprint", j.r.Fingerprint.String(), "sends", j.sends, "retry_after_ms", after.Milliseconds())
 	e := failure.New(failure.Quarantined, "engines crash on a part of the prompt")
 	e.RetryAfter = after
 	return e
@@ -43,14 +43,21 @@
 // recordBreak records an attempt whose target broke the connection, unless the caller or
 // this VM canceled it. begun is set if the target had begun to answer.
 func (j *job) recordBreak(ctx context.Context, t *target.Target, begun bool, err error) {
-	if len(j.r.Prefix) == 0 || ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
+	now := j.f.Clock.Now()
+	j.f.Metrics.countBreak(begun)
+	j.log(now).Info("target broke off, it may have crashed on the request", "target", t.ID, "born", t.Born,
+		"fingerprint", j.r.Fingerprint.String(), "begun", begun, "sends", j.sends)
+	if len(j.r.Prefix) == 0 {
 		return
 	}
 	if begun {
-		j.f.Quarantine.RecordLateCrash(j.r.Prefix, t, j.f.Clock.Now())
+		j.f.Quarantine.RecordLateCrash(j.r.Prefix, t, now)
 		return
 	}
-	j.f.Quarantine.RecordCrash(j.r.Prefix, t, j.f.Clock.Now())
+	j.f.Quarantine.RecordCrash(j.r.Prefix, t, now)
 }
 
 // recordOutcome records whether an answer was complete or was broken off by its target.
--- a/tests/soak/site_test.go
+++ b/tests/soak/site_test.go
@@ -122,7 +122,7 @@
 		dir: dir, program: program, rows: fakestore.New(clockwork.NewRealClock()),
 		targets: map[string]*target{}, runs: map[string][]*run{}, answers: map[string]answer{},
 		violationsByKind: map[string]int{}, deadly: map[string]*deadlyRequest{},
-		targetsPerPool:   3 * max(1, nodes/nodesPerTargets), models: []string{"m1", "m2", "m3"},
+		targetsPerPool: 3 * max(1, nodes/nodesPerTargets), models: []string{"m1", "m2", "m3"},
 		bounds: siteBounds{retryRatio: 0.2, retrySlack: 52},
 	}
 	for _, opt := range opts {
