quarantine: hold back whole requests on which engines crash (BUDGET)

What callers saw: one lookup that came again ended all targets of its service, round after round; between the rounds all lookups and purchases were refused.

Cause: the quarantine knew only the shared parts of prompts. A request without a prompt was never suspected, nor was the last part, which tells requests apart.

Change: a request is suspected as a whole, by its fingerprint, with the mechanism of the parts. A request that crashes engines excuses parts that were answered before. Probes that crash engines are counted with the news; after two, or five crashes of one request, there are no more, and none while the leader does not hear of a VM. News are sent as far as a peer has not seen them.

Two faults of the former code, shown by the new tests: an answer that ended a quarantine more than 30 s after the crash was never told to the other VMs (TestAnsweredProbeFreesARequest), and a quarantine did not end by itself while no news were collected.

Tried and left out: to count a break as no crash if the engine answers a request that was sent within a second after it.

--- a/internal/serving/forward/attempt.go
+++ b/internal/serving/forward/attempt.go
@@ -337,7 +337,7 @@
 		return j.handleSendError(ctx, ticket, c.Target, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	j.f.ObserveMarks(c.Target, &answer.Marks, now, "answer", j.log)
+	f.ObserveMarks(c.Target, &answer.Marks, now, "answer", j.log)
 	j.target, j.status = c.Target.ID, answer.Status
 	result, err := j.handleAnswer(answer, ticket, dog)
 	j.recordOutcome(ctx, c.Target, result, answer, err)
--- a/internal/serving/forward/observe.go
+++ b/internal/serving/forward/observe.go
@@ -24,18 +24,18 @@
 
 func (e *brokenAnswerError) Unwrap() error { return e.cause }
 
-// checkQuarantine returns the failure for the caller if engines crash on a part of the
-// request's prompt, else nil.
+// checkQuarantine returns the failure for the caller if engines crash on the request or on a
+// part of its prompt, else nil.
 func (j *job) checkQuarantine() error {
 	now := j.f.Clock.Now()
-	part, after, blocked := j.f.Quarantine.Blocked(j.r.Prefix, now)
+	name, after, blocked := j.f.Quarantine.Blocked(j.r, now)
 	if !blocked {
 		return nil
 	}
 	after = spread(after)
 	j.f.Metrics.countRejection(rejectQuarantined)
-	j.log(now).Info("request refused, engines crash on a part of its prompt", "part", part, "fingerprint", j.r.Fingerprint.String(), "sends", j.sends, "retry_after_ms", after.Milliseconds())
-	e := failure.New(failure.Quarantined, "engines crash on a part of the prompt")
+	j.log(now).Info("request refused, engines crash on it or on a part of its prompt", "suspect", name, "fingerprint", j.r.Fingerprint.String(), "sends", j.sends, "retry_after_ms", after.Milliseconds())
+	e := failure.New(failure.Quarantined, "engines crash on the request")
 	e.RetryAfter = after
 	return e
 }
@@ -50,14 +50,11 @@
 	j.f.Metrics.countBreak(begun)
 	j.log(now).Info("target broke off, it may have crashed on the request", "target", t.ID, "born", t.Born,
 		"fingerprint", j.r.Fingerprint.String(), "begun", begun, "sends", j.sends)
-	if len(j.r.Prefix) == 0 {
-		return
-	}
 	if begun {
-		j.f.Quarantine.RecordLateCrash(j.r.Prefix, t, now)
+		j.f.Quarantine.RecordLateCrash(j.r, t, now)
 		return
 	}
-	j.f.Quarantine.RecordCrash(j.r.Prefix, t, now)
+	j.f.Quarantine.RecordCrash(j.r, t, now)
 }
 
 // recordOutcome records whether an answer was complete or was broken off by its target.
@@ -66,8 +63,11 @@
 	switch {
 	case errors.As(err, &broken):
 		j.recordBreak(ctx, t, broken.begun, err)
-	case result == done && err == nil && answer.Status == http.StatusOK && answer.Signed && len(j.r.Prefix) > 0:
-		j.f.Quarantine.RecordAnswer(j.r.Prefix, j.f.Clock.Now())
+	case result != done || err != nil || !answer.Signed || answer.Status >= http.StatusInternalServerError:
+	case answer.Status == http.StatusOK:
+		j.f.Quarantine.RecordAnswer(j.r, j.f.Clock.Now())
+	default:
+		j.f.Quarantine.RecordFailure(j.r, j.f.Clock.Now())
 	}
 }
 
--- a/internal/serving/forward/observe_test.go
+++ b/internal/serving/forward/observe_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
@@ -25,8 +26,11 @@
 		view, sender = x.view, x.sender
 	})
 
-	// restart begins new incarnations of the engines.
+	// restart begins new incarnations of the targets.
 	restart := func(born int64) {
+		for _, id := range []string{"p1", "p2", "p3"} {
+			view.Set(&target.Target{ID: id, Born: born, Pool: "plain", Slots: 6, Address: netip.MustParseAddrPort("10.0.0.1:80")})
+		}
 		for _, id := range []string{"e1", "e2", "e3"} {
 			view.Set(&target.Target{
 				ID: id, Born: born, Pool: "engines", Slots: 64, Address: netip.MustParseAddrPort("10.0.0.2:80"),
@@ -37,10 +41,17 @@
 
 	// Guards against requests of one kind that crash one engine after the other (BUDGET).
 	It("is refused at once, and not repeated, when engines crash on a part of its prompt", func() {
+		bodies := 0
+		body := func() []byte { // no two requests are alike
+			bodies++
+			return fmt.Append(nil, bodies)
+		}
 		deadly := func(r *exchange.Request) {
+			r.Body = body()
 			r.Prefix = []exchange.PromptPart{{ID: "shared", Tokens: 10}, {ID: "deadly", Tokens: 10}, {ID: "own", Tokens: 10}}
 		}
 		sound := func(r *exchange.Request) {
+			r.Body = body()
 			r.Prefix = []exchange.PromptPart{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 10}}
 		}
 		for i := range 3 {
@@ -66,6 +77,41 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a request that crashes one target after the other (BUDGET), and against
+	// refusals of others beside it (LOST).
+	DescribeTable("is refused at once, and not repeated, when targets crash on it", func(path string, replies []reply) {
+		deadly := func(r *exchange.Request) { r.Body = []byte("deadly") }
+		for range 3 {
+			sender.replies = replies
+			_, _, err := x.serve(path, deadly)
+			Expect(err).To(HaveOccurred())
+			restart(time.Now().UnixNano())
+			sender.replies = []reply{{status: http.StatusOK, body: "id: 1\n\n"}}
+			_, _, err = x.serve(path)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(300 * time.Millisecond) // crashes that coincide count once
+		}
+		sent := len(sender.attempts)
+		for range 3 {
+			_, _, err := x.serve(path, deadly)
+			Expect(failure.From(err).Kind).To(Equal(failure.Quarantined))
+			Expect(failure.From(err).RetryAfter).To(BeNumerically(">", time.Second))
+		}
+		Expect(sender.attempts).To(HaveLen(sent))
+		sender.replies = []reply{{status: http.StatusOK, body: "id: 1\n\n"}, {status: http.StatusOK, body: "id: 1\n\n"}}
+		for _, sound := range []func(*exchange.Request){
+			func(r *exchange.Request) { r.Body = []byte("sound") },
+			func(r *exchange.Request) { r.Body, r.URI = []byte("deadly"), path+"?other" },
+		} {
+			_, _, err := x.serve(path, sound)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	},
+		Entry("a lookup", "/look/", []reply{{err: errReset}, {err: errReset}}),
+		Entry("a purchase", "/buy/", []reply{{err: errReset}}),
+		Entry("a stream", "/draft/", []reply{{status: http.StatusOK, breaks: true}, {status: http.StatusOK, breaks: true}, {status: http.StatusOK, breaks: true}}),
+	)
+
 	// Guards against taking engines that are lost together for ones that crash on a part of
 	// prompts (LOST), and the other way round (BUDGET).
 	DescribeTable("is refused after crashes that come together", func(events string, refused bool) {
--- a/internal/serving/node/delegate.go
+++ b/internal/serving/node/delegate.go
@@ -24,7 +24,7 @@
 	seen := n.seenBy(p)
 	d.Sends, d.SendsUpto = n.view.SendsAfter(seen.sends, relation == meshpb.Relation_RELATION_TOTALS)
 	d.Marks, d.MarksUpto = n.view.MarksAfter(seen.marks, n.clock.Now())
-	d.Suspects = n.quarantine.News(n.clock.Now())
+	d.Suspects, d.SuspectsUpto = n.quarantine.NewsAfter(seen.suspects, n.clock.Now())
 	n.fleet.fill(d, p.Address, relation, seen.wantsWeights || relation == meshpb.Relation_RELATION_REPORT, n.clock.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -37,7 +37,7 @@
 		}
 	}
 	if s := n.received[p.Address]; s.incarnation == p.Incarnation {
-		d.SendsSeen, d.InventorySeen, d.MarksSeen = s.sends, s.inventory, s.marks
+		d.SendsSeen, d.InventorySeen, d.MarksSeen, d.SuspectsSeen = s.sends, s.inventory, s.marks, s.suspects
 	}
 	return d
 }
@@ -71,19 +71,19 @@
 }
 
 // received records what this VM has received from a peer: the peer's incarnation, the
-// highest versions of its sends, its inventory and its marks, and what the peer has received
-// and wants.
+// highest versions of its sends, its inventory, its marks and its suspects, and what the peer
+// has received and wants.
 type received struct {
-	incarnation             int64
-	sends, inventory, marks int64
-	peer                    seen
+	incarnation                       int64
+	sends, inventory, marks, suspects int64
+	peer                              seen
 }
 
-// seen is what a peer has received of this VM's sends, inventory and marks, and whether it
-// needs the demand for weights.
+// seen is what a peer has received of this VM's sends, inventory, marks and suspects, and
+// whether it needs the demand for weights.
 type seen struct {
-	sends, inventory, marks int64
-	wantsWeights            bool
+	sends, inventory, marks, suspects int64
+	wantsWeights                      bool
 }
 
 func (n *Node) seenBy(p *mesh.Peer) seen {
@@ -129,8 +129,11 @@
 		s = received{incarnation: p.Incarnation}
 	}
 	s.sends, s.inventory = max(s.sends, d.GetSendsUpto()), max(s.inventory, d.GetInventoryUpto())
-	s.marks = max(s.marks, d.GetMarksUpto())
-	s.peer = seen{sends: d.GetSendsSeen(), inventory: d.GetInventorySeen(), marks: d.GetMarksSeen(), wantsWeights: d.GetWantsWeights()}
+	s.marks, s.suspects = max(s.marks, d.GetMarksUpto()), max(s.suspects, d.GetSuspectsUpto())
+	s.peer = seen{
+		sends: d.GetSendsSeen(), inventory: d.GetInventorySeen(), marks: d.GetMarksSeen(), suspects: d.GetSuspectsSeen(),
+		wantsWeights: d.GetWantsWeights(),
+	}
 	n.received[p.Address] = s
 	var changed []*meshpb.Inventory
 	for _, entry := range d.GetInventory() {
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -186,7 +186,7 @@
 		Clock:  n.clock,
 		Logger: config.Logger,
 	})
-	n.quarantine = quarantine.New(func() bool { return n.election.Term() != nil }, config.Logger)
+	n.quarantine = quarantine.New(n.mayProbe, config.Logger)
 	n.forward = forward.New(forward.Config{
 		Quarantine: n.quarantine,
 		Policy:     n.policy.Load,
@@ -205,6 +205,12 @@
 	return n, nil
 }
 
+// mayProbe reports whether this VM may probe for requests on which engines crash.
+func (n *Node) mayProbe() bool {
+	_, silent := n.mesh.Count()
+	return n.election.Term() != nil && silent == 0
+}
+
 // defaultChangeLag applies if the settings have no such time.
 const defaultChangeLag = 2 * time.Second
 
--- a/internal/serving/quarantine/quarantine_test.go
+++ b/internal/serving/quarantine/quarantine_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"fireflypier.example/fireflypier/internal/serving/exchange"
+	"fireflypier.example/fireflypier/internal/serving/fingerprint"
 	"fireflypier.example/fireflypier/internal/serving/quarantine"
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
@@ -18,18 +22,34 @@
 	return quarantine.New(func() bool { return probes }, hclog.NewNullLogger())
 }
 
-func prompt(ids ...string) []exchange.PromptPart {
-	var parts []exchange.PromptPart
-	for _, id := range ids {
-		parts = append(parts, exchange.PromptPart{ID: id, Tokens: 100})
+// requests counts those that prompt has returned.
+var requests atomic.Uint64
+
+// prompt returns a request that no other one equals, with the given parts and one of its own.
+func prompt(ids ...string) *exchange.Request {
+	r := &exchange.Request{Fingerprint: fingerprint.Fingerprint(requests.Add(1))}
+	for _, id := range append(ids, "own") {
+		r.Prefix = append(r.Prefix, exchange.PromptPart{ID: id, Tokens: 100})
+	}
+	return r
+}
+
+// tell tells a VM all that another one knows.
+func tell(to, from *quarantine.Quarantine, now time.Time) {
+	for seen := int64(0); ; {
+		some, upto := from.NewsAfter(seen, now)
+		if len(some) == 0 {
+			return
+		}
+		to.Merge(some, now)
+		seen = upto
 	}
-	return append(parts, exchange.PromptPart{ID: "own", Tokens: 100})
 }
 
 func engine(i int) *target.Target { return &target.Target{ID: fmt.Sprint("e", i), Born: 1} }
 
-func blocked(q *quarantine.Quarantine, prefix []exchange.PromptPart, now time.Time) bool {
-	_, _, is := q.Blocked(prefix, now)
+func blocked(q *quarantine.Quarantine, r *exchange.Request, now time.Time) bool {
+	_, _, is := q.Blocked(r, now)
 	return is
 }
 
@@ -67,8 +87,8 @@
 		q.RecordCrash(prompt("shared", "deadly"), engine(i), now)
 		now = now.Add(400 * time.Millisecond)
 	}
-	peer.Merge(q.News(now), now)
-	q.Merge(peer.News(now), now)
+	tell(peer, q, now)
+	tell(q, peer, now)
 	for _, q := range []*quarantine.Quarantine{q, peer} {
 		g.Expect(blocked(q, prompt("shared", "other"), now)).To(BeFalse())
 		g.Expect(blocked(q, prompt("new", "deadly"), now)).To(BeTrue())
@@ -106,7 +126,7 @@
 			now = now.Add(400 * time.Millisecond)
 		}
 		now = now.Add(2 * time.Second)
-		other.Merge(leader.News(now), now)
+		tell(other, leader, now)
 		g.Expect(blocked(other, prompt("first", "x"), now)).To(BeTrue(), "only one VM probes")
 		g.Expect(blocked(leader, prompt("first", "second"), now)).To(BeTrue(), "tells nothing")
 		g.Expect(blocked(leader, prompt("first", "x"), now)).To(BeFalse(), "the probe")
@@ -120,7 +140,7 @@
 			leader.RecordAnswer(prompt("first", "x"), now)
 		}
 		now = now.Add(10 * time.Second)
-		other.Merge(leader.News(now), now)
+		tell(other, leader, now)
 		for _, q := range []*quarantine.Quarantine{leader, other} {
 			g.Expect(blocked(q, prompt(guilty, "z"), now)).To(BeTrue())
 			g.Expect(blocked(q, prompt(map[string]string{"first": "second", "second": "first"}[guilty], "z"), now)).To(BeFalse())
@@ -151,7 +171,7 @@
 		now = now.Add(20 * time.Millisecond)
 	}
 	now = now.Add(2 * time.Second)
-	peer.Merge(q.News(now), now)
+	tell(peer, q, now)
 	g.Expect(blocked(q, prompt("deadly"), now)).To(BeTrue())
 	g.Expect(blocked(peer, prompt("deadly"), now)).To(BeTrue())
 }
@@ -176,7 +196,7 @@
 			q.RecordLateCrash(prompt("rare"), engine(3), now)
 		case "begun, as another VM knows":
 			peer.RecordLateCrash(prompt("rare"), engine(3), now)
-			q.Merge(peer.News(now), now)
+			tell(q, peer, now)
 		}
 		for range 10 {
 			now = now.Add(time.Second)
@@ -227,7 +247,7 @@
 		now = now.Add(30 * time.Millisecond)
 		vms[i%5].RecordCrash(prompt("deadly"), engine(i), now)
 		for _, q := range vms {
-			q.Merge(vms[i%5].News(now), now)
+			tell(q, vms[i%5], now)
 		}
 		if i > 60 {
 			for _, q := range vms {
@@ -269,7 +289,7 @@
 				now = now.Add(100 * time.Millisecond)
 				for _, a := range all {
 					for _, b := range all {
-						b.Merge(a.News(now), now)
+						tell(b, a, now)
 					}
 				}
 			}
@@ -297,3 +317,201 @@
 		}
 	})
 }
+
+// again returns the same request as it comes another time.
+func again(r *exchange.Request) *exchange.Request {
+	c := *r
+	return &c
+}
+
+// tellAll has all VMs hear of each other.
+func tellAll(vms []*quarantine.Quarantine, now time.Time) {
+	for _, from := range vms {
+		for _, to := range vms {
+			tell(to, from, now)
+		}
+	}
+}
+
+// TestDeadlyRequestIsQuarantined guards against a request that crashes one engine after the
+// other, each at the VM that it comes to (BUDGET), and against refusals of others that were in
+// progress at the same engines (LOST).
+func TestDeadlyRequestIsQuarantined(t *testing.T) {
+	for _, parts := range [][]string{nil, {"shared"}} {
+		g := NewWithT(t)
+		vms := []*quarantine.Quarantine{newQuarantine(false), newQuarantine(false), newQuarantine(false)}
+		now := time.Unix(1000, 0)
+		deadly, sound := prompt(parts...), prompt(parts...)
+		if parts == nil {
+			deadly.Prefix, sound.Prefix = nil, nil
+		}
+		for i := range 3 {
+			vm := vms[i]
+			g.Expect(blocked(vm, again(deadly), now)).To(BeFalse())
+			vm.RecordCrash(again(deadly), engine(i), now)
+			vm.RecordCrash(again(sound), engine(i), now)
+			now = now.Add(400 * time.Millisecond)
+			vms[(i+1)%3].RecordAnswer(again(sound), now)
+			tellAll(vms, now)
+		}
+		late := newQuarantine(false) // has just started
+		tell(late, vms[0], now)
+		for _, vm := range append(vms, late) {
+			g.Expect(blocked(vm, again(deadly), now)).To(BeTrue())
+			g.Expect(blocked(vm, again(sound), now)).To(BeFalse())
+			g.Expect(blocked(vm, prompt(parts...), now)).To(BeFalse())
+		}
+		now = now.Add(9 * time.Minute)
+		g.Expect(blocked(vms[0], again(deadly), now)).To(BeTrue())
+		now = now.Add(9 * time.Minute)
+		g.Expect(blocked(vms[0], again(deadly), now)).To(BeTrue(), "for as long as it comes")
+		g.Expect(blocked(vms[0], again(deadly), now.Add(11*time.Minute))).To(BeFalse(), "it is forgotten then")
+	}
+}
+
+// TestProbesAreCounted guards against probes without end (BUDGET): a deadly request comes every
+// second for two hours at VMs that take turns as the one that may probe, and that start anew.
+func TestProbesAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	leader := 0
+	vms := make([]*quarantine.Quarantine, 3)
+	start := func(i int) {
+		vms[i] = quarantine.New(func() bool { return leader == i }, hclog.NewNullLogger())
+	}
+	for i := range vms {
+		start(i)
+	}
+	deadly := prompt("part")
+	sends := 0
+	for i := range 7200 {
+		now = now.Add(time.Second)
+		if vm := vms[i%3]; !blocked(vm, again(deadly), now) {
+			sends++
+			vm.RecordCrash(again(deadly), engine(i), now)
+		}
+		tellAll(vms, now)
+		switch {
+		case i%97 == 0:
+			leader = (leader + 1) % 3
+		case i%1000 == 0:
+			start(i / 1000 % 3)
+			tellAll(vms, now)
+		}
+	}
+	g.Expect(sends).To(BeNumerically("<=", 3+3))
+	g.Expect(sends).To(BeNumerically(">", 3), "it was probed")
+}
+
+// TestAnsweredProbeFreesARequest checks that a request that was blamed wrongly is served again.
+func TestAnsweredProbeFreesARequest(t *testing.T) {
+	g := NewWithT(t)
+	leader, other := newQuarantine(true), newQuarantine(false)
+	now := time.Unix(1000, 0)
+	r := prompt()
+	for i := range 3 {
+		other.RecordCrash(again(r), engine(i), now)
+		now = now.Add(time.Second)
+	}
+	tell(leader, other, now)
+	g.Expect(blocked(leader, again(r), now)).To(BeTrue())
+	now = now.Add(time.Minute)
+	g.Expect(blocked(leader, again(r), now)).To(BeFalse(), "the probe")
+	leader.RecordFailure(again(r), now) // 404, say
+	tell(other, leader, now)
+	g.Expect(blocked(other, again(r), now)).To(BeFalse())
+}
+
+// TestLostEnginesSpareSoundRequests guards against refusals of requests that are alike and come
+// often, while engines are lost for another reason, several at a time, again and again (LOST).
+func TestLostEnginesSpareSoundRequests(t *testing.T) {
+	g := NewWithT(t)
+	vms := []*quarantine.Quarantine{newQuarantine(false), newQuarantine(false)}
+	now := time.Unix(1000, 0)
+	r := &exchange.Request{Fingerprint: 7}
+	for round := range 20 {
+		vms[round%2].RecordAnswer(again(r), now)
+		now = now.Add(3 * time.Second)
+		for i := range 5 {
+			vms[i%2].RecordCrash(again(r), engine(10*round+i), now)
+			now = now.Add(40 * time.Millisecond)
+		}
+		tellAll(vms, now)
+		for range 10 {
+			for _, vm := range vms {
+				g.Expect(blocked(vm, again(r), now)).To(BeFalse(), "round %d", round)
+			}
+			now = now.Add(300 * time.Millisecond)
+		}
+	}
+}
+
+// TestNewRequestsPushNothingOut guards against a caller whose ever new requests are in progress
+// while engines crash, so that those on which they crash are forgotten (BUDGET).
+func TestNewRequestsPushNothingOut(t *testing.T) {
+	g := NewWithT(t)
+	vms := []*quarantine.Quarantine{newQuarantine(false), newQuarantine(false)}
+	now := time.Unix(1000, 0)
+	deadly := prompt()
+	seen := make([]int64, 2)
+	for i := range 3 {
+		vms[i%2].RecordCrash(again(deadly), engine(i), now)
+		for range 1500 {
+			vms[i%2].RecordCrash(prompt(), engine(i), now)
+		}
+		for range 30 {
+			now = now.Add(200 * time.Millisecond)
+			for v, from := range vms {
+				some, upto := from.NewsAfter(seen[v], now)
+				vms[1-v].Merge(some, now)
+				seen[v] = upto
+			}
+		}
+	}
+	for _, vm := range vms {
+		g.Expect(blocked(vm, again(deadly), now)).To(BeTrue())
+	}
+}
+
+// BenchmarkCrash has an engine crash under 64 requests of three parts each, and reports the
+// bytes that the VM then sends to each peer, and the memory of a full list.
+func BenchmarkCrash(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	q := newQuarantine(false)
+	for i := range 40 {
+		for range 64 {
+			q.RecordCrash(prompt("a", "b"), engine(i), now)
+		}
+		now = now.Add(time.Second)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	bytes, digests := 0, 0
+	crash := 40
+	for b.Loop() {
+		_, seen := q.NewsAfter(1<<62, now)
+		for range 64 {
+			q.RecordCrash(prompt("a", "b"), engine(crash), now)
+		}
+		crash++
+		for {
+			some, upto := q.NewsAfter(seen, now)
+			for _, s := range some {
+				bytes += proto.Size(s)
+			}
+			digests++
+			if len(some) == 0 || upto == seen {
+				break
+			}
+			seen = upto
+		}
+		now = now.Add(time.Second)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KB/full-list")
+	b.ReportMetric(float64(bytes)/float64(b.N), "B/crash-and-peer")
+	b.ReportMetric(float64(digests)/float64(b.N), "digests")
+	runtime.KeepAlive(q)
+}
