forward: an answer to another request is no crash of its target (LOST)

An attempt that got the copy of another answer was recorded as one under which its target had crashed; a request that met it at three targets was refused for a minute though all lived.

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fireflypier.example/fireflypier/internal/serving/fingerprint"
 	"fireflypier.example/fireflypier/internal/serving/target"
 )
@@ -74,6 +76,10 @@
 	LastEvent string
 }
 
+// ErrOtherAnswer means that the target answered another request than the one that was sent.
+// What was sent may have run, also if the answer says that it has not.
+var ErrOtherAnswer = errors.New("the answer belongs to another request")
+
 // Answer is the header of a target's answer, with its body still to be read.
 // The receiver must close Body.
 type Answer struct {
@@ -103,7 +109,8 @@
 type Sender interface {
 	// Send returns once the header of the target's answer has arrived. An error
 	// wraps transport.NotSentError if the request cannot have left the process;
-	// after any other error it may have run. All sends of a request have the same
+	// after any other error it may have run; the error wraps ErrOtherAnswer if the target
+	// lives. All sends of a request have the same
 	// transport.History in ctx, which keeps the answers to its attempts apart.
 	Send(ctx context.Context, r *Request, a *Attempt) (*Answer, error)
 }
--- a/internal/serving/forward/observe.go
+++ b/internal/serving/forward/observe.go
@@ -41,9 +41,10 @@
 }
 
 // recordBreak records an attempt whose target broke the connection, unless the caller or
-// this VM canceled it. begun is set if the target had begun to answer.
+// this VM canceled it, or closed it for the answer to another request. begun is set if the
+// target had begun to answer.
 func (j *job) recordBreak(ctx context.Context, t *target.Target, begun bool, err error) {
-	if ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, exchange.ErrOtherAnswer) {
 		return
 	}
 	now := j.f.Clock.Now()
--- a/internal/serving/forward/observe_test.go
+++ b/internal/serving/forward/observe_test.go
@@ -112,6 +112,17 @@
 		Entry("a stream", "/draft/", []reply{{status: http.StatusOK, breaks: true}, {status: http.StatusOK, breaks: true}, {status: http.StatusOK, breaks: true}}),
 	)
 
+	// Guards against refusals of requests whose targets have repeated other answers (LOST).
+	It("is not refused after answers to other requests", func() {
+		for range 4 {
+			sender.replies = []reply{{err: exchange.ErrOtherAnswer}, {err: exchange.ErrOtherAnswer}}
+			_, _, err := x.serve("/look/")
+			Expect(failure.From(err).Kind).To(Equal(failure.OutcomeUnknown))
+			restart(time.Now().UnixNano())     // so that further targets answer
+			time.Sleep(300 * time.Millisecond) // crashes that coincide count once
+		}
+	})
+
 	// Guards against taking engines that are lost together for ones that crash on a part of
 	// prompts (LOST), and the other way round (BUDGET).
 	DescribeTable("is refused after crashes that come together", func(events string, refused bool) {
