--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -42,8 +42,8 @@
 // Transport is an http.RoundTripper whose errors wrap NotSentError if and only if no
 // byte of the request was written to a connection. It never sends a request twice. A
 // request without a body or with GetBody is tried again on another connection if its first
-// one was closed before a byte was written. A request WithHistory
-// uses no connection on which it may have been sent before. It is safe for concurrent use.
+// one was closed before a byte was written. A request WithHistory uses no connection on
+// which it may have been sent before. It is safe for concurrent use.
 type Transport struct {
 	pooled *http.Transport
 	single *http.Transport
@@ -119,7 +119,8 @@
 // maxClosedConns bounds the closed connections on which one request is tried.
 const maxClosedConns = 3
 
-// RoundTrip sends r once.
+// RoundTrip sends r once. It replaces connections that turn out to be closed before a byte
+// of r is written to them, up to maxClosedConns in all.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	getBody := r.GetBody
 	r = r.WithContext(r.Context())
