Review stand-in: callers that stop reading for a while

Cause: TCP_USER_TIMEOUT of 2 s on the connections of callers also ends those whose caller does not read. Change: the script's stand-ins; its case follows.

--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -71,7 +71,7 @@
 }
 
 func main() {
-	cases := map[string]func(*play) int{"recover": playRecover, "parts": playParts, "twice": playTwice}
+	cases := map[string]func(*play) int{"recover": playRecover, "parts": playParts, "twice": playTwice, "slow": playSlow}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
 		os.Exit(failed)
