--- a/review/_standin2/slow.go
+++ b/review/_standin2/slow.go
@@ -112,6 +112,7 @@
 			"cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 		})
 	}
+	var vms []*vm
 	for n := 1; n <= 3; n++ {
 		v, err := s.start(n)
 		if err != nil {
@@ -122,25 +123,36 @@
 		if !v.awaitReady(10 * time.Second) {
 			return failed
 		}
+		vms = append(vms, v)
 	}
 	time.Sleep(4 * time.Second) // so that all VMs are in touch
 	pause := readPause
 	if !p.trouble {
 		pause = 0
 	}
-	var wg sync.WaitGroup
+	callers := make([]*slowCaller, slowCallers)
+	for n := range callers {
+		c, err := dialSlow(s.addr(1+n%3, 0))
+		if err != nil {
+			p.note("caller %d: %v", n, err)
+			return failed
+		}
+		defer func() { _ = c.conn.Close() }()
+		callers[n] = c
+	}
 	lost := 0
-	for n := range slowCallers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			c, err := dialSlow(s.addr(1+n%3, 0))
-			if err != nil {
-				p.note("caller %d: %v", n, err)
-				return
+	for k, wait := range []time.Duration{0, pause} {
+		if k == 1 {
+			for _, v := range vms {
+				p.note("VM %d gets SIGHUP, its settings are as before", v.n)
+				_ = v.cmd.Process.Signal(syscall.SIGHUP)
 			}
-			defer func() { _ = c.conn.Close() }()
-			for k, wait := range []time.Duration{0, pause} {
+		}
+		var wg sync.WaitGroup
+		for n, c := range callers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
 				id := fmt.Sprintf("q-%02d-%d", n, k)
 				status, size, err := c.buy(id, wait)
 				p.note("%s: its caller reads %v later, and gets status %d, %d of %d bytes, error %v", id, wait, status, size, purchaseBytes, err)
@@ -150,13 +162,10 @@
 					p.note("BROKEN: %s has run, and the VM has closed its kept connection without a complete answer (reset: %v)", id, errors.Is(err, syscall.ECONNRESET))
 				}
 				mu.Unlock()
-				if err != nil {
-					return
-				}
-			}
-		}()
+			}()
+		}
+		wg.Wait()
 	}
-	wg.Wait()
 	p.note("%d of %d slow callers got no complete answer", lost, slowCallers)
 	fmt.Printf("%d of %d slow callers got no complete answer\n", lost, slowCallers)
 	if lost > 3 {
