socket: log and count connections that time out, with the peer's state

The VM's log ends with "request answered"; nothing says who ended the connection, or why.

Hypotheses that the logs could not tell apart: TCP_USER_TIMEOUT ends a connection whose peer is alive and does not read; the peer counts as unreachable; the guard evicts the connection; the reload or a deadline of net/http closes it.

Change: a time-out of TCP is logged (at most once a second) and counted by what TCP_INFO says: the peer's window, the bytes never sent, the time since the last acknowledgement. socket.Default becomes socket.New with options, one for callers, targets and the store. No connection ends otherwise than before.

--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/serving/buffermemory"
@@ -59,10 +60,13 @@
 	defer func() { _ = logOutput.Close() }()
 	logger := hclog.New(&hclog.LoggerOptions{Name: cfg.Name, Level: hclog.Info, JSONFormat: true, Output: logOutput})
 	logger.Info("program", "version", version, "commit", builtFrom())
-	targets := platform.NewTargetClient(transport.New(transport.WithDial(socket.Default().Dial)))
+	callerSockets := socket.New("callers", socket.WithLogger(logger))
+	targetSockets := socket.New("targets", socket.WithLogger(logger))
+	storeSockets := socket.New("store", socket.WithLogger(logger))
+	targets := platform.NewTargetClient(transport.New(transport.WithDial(targetSockets.Dial)))
 	n, err := node.New(node.Config{
 		Settings:     cfg,
-		Store:        platform.NewStore(cfg.Store),
+		Store:        platform.NewStore(cfg.Store, platform.WithStoreDial(storeSockets.Dial)),
 		Sender:       targets,
 		Engines:      targets,
 		DecodePolicy: platform.DecodePolicy,
@@ -70,6 +74,8 @@
 		Front:        front(cfg, logger),
 		Directory:    platform.Directory,
 		Ready:        platform.Ready,
+		Sockets:      callerSockets,
+		Collectors:   []prometheus.Collector{callerSockets.Collector(), targetSockets.Collector(), storeSockets.Collector()},
 		Logger:       logger,
 	})
 	if err != nil {
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -190,7 +190,10 @@
 		}
 		break
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface {
+		SetReadBuffer(bytes int) error
+		SetWriteBuffer(bytes int) error
+	}); ok {
 		_ = tcp.SetReadBuffer(socketBytes)
 		_ = tcp.SetWriteBuffer(socketBytes)
 	}
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -90,7 +90,11 @@
 	Front     func(serve exchange.Handler, bodyLimit func() int64) http.Handler
 	Directory func(addresses func(dataCentre string) []netip.AddrPort, ttl func() time.Duration) http.Handler
 	Ready     func(ready func() bool) http.Handler
-	Logger    hclog.Logger
+	// Sockets opens the listeners; nil selects one with default settings.
+	Sockets *socket.Dialer
+	// Collectors are further metrics to serve, for instance those of Sockets.
+	Collectors []prometheus.Collector
+	Logger     hclog.Logger
 }
 
 // Node is the process of one VM. Run must be called only once.
@@ -166,6 +170,9 @@
 		received:    make(map[netip.AddrPort]received),
 		fetching:    make(map[rowstore.Table]bool),
 	}
+	if n.Sockets == nil {
+		n.Sockets = socket.New("callers")
+	}
 	s := config.Settings
 	n.bounds.Store(&s.Bounds)
 	n.view = fleetview.New(s.DataCentre, n.viewOptions()...)
@@ -173,6 +180,7 @@
 	n.setTargetBounds(&s.Bounds)
 	n.warn("settings", s.Warnings)
 	n.registry.MustRegister(newEvacuationCollector(n))
+	n.registry.MustRegister(config.Collectors...)
 	n.policies = tablefeed.New(config.Store, rowstore.Policies, "policies", config.Logger, n.policyChanged,
 		tablefeed.WithRestorationHold(evacuationHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(policyLag(&s.Bounds)))
 	n.targets = tablefeed.New(config.Store, rowstore.Targets, "targets", config.Logger, n.targetsChanged, tablefeed.WithHold(targetRowHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(changeLag(&s.Bounds)))
@@ -353,7 +361,7 @@
 		{s.Admin, n.server(n.adminHandler())},
 	}
 	for _, l := range serve {
-		ln, err := socket.Default().Listen(ctx, l.addr.String())
+		ln, err := n.Sockets.Listen(ctx, l.addr.String())
 		if err != nil {
 			return nil, nil, nil, errors.Wrapf(err, "listen on %s", l.addr)
 		}
--- a/internal/serving/socket/socket.go
+++ b/internal/serving/socket/socket.go
@@ -5,26 +5,17 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sys/unix"
 )
 
-// Dialer opens connections and listeners with time-outs that detect peers that do
-// not answer.
-type Dialer struct {
-	// DialTimeout is the maximum time to open a connection.
-	DialTimeout time.Duration
-	// UserTimeout is the maximum time that sent data may stay unacknowledged
-	// (TCP_USER_TIMEOUT), in whole milliseconds.
-	UserTimeout time.Duration
-	// KeepAliveIdle is the idle time before the first keep-alive probe,
-	// KeepAliveInterval the time between probes.
-	KeepAliveIdle, KeepAliveInterval time.Duration
-}
-
 const (
 	defaultDialTimeout       = 500 * time.Millisecond // several round trips, and below the one second that callers allow for a connection
 	defaultUserTimeout       = 2 * time.Second        // allows several retransmissions of a lost packet
@@ -33,47 +24,117 @@
 	keepAliveProbes          = 2                      // one lost probe does not close the connection
 )
 
-// Default returns a dialer with time-outs for connections within a region.
-func Default() Dialer {
-	return Dialer{
-		DialTimeout:       defaultDialTimeout,
-		UserTimeout:       defaultUserTimeout,
-		KeepAliveIdle:     defaultKeepAliveIdle,
-		KeepAliveInterval: defaultKeepAliveInterval,
+// Dialer opens connections and listeners with time-outs that detect peers that do
+// not answer. Connections that time out are logged and counted, with what the kernel
+// knows of their peer.
+type Dialer struct {
+	peers string
+	// userTimeout is the maximum time that sent data may stay unacknowledged
+	// (TCP_USER_TIMEOUT), in whole milliseconds.
+	userTimeout time.Duration
+	clock       clockwork.Clock
+	logger      hclog.Logger
+	// timedOut counts connections that have timed out, by state; reported is when that was
+	// last logged, in nanoseconds.
+	timedOut *prometheus.CounterVec
+	reported atomic.Int64
+}
+
+// Option configures a Dialer.
+type Option func(*Dialer)
+
+// WithLogger sets the logger; the default discards all messages.
+func WithLogger(l hclog.Logger) Option { return func(d *Dialer) { d.logger = l } }
+
+// WithClock sets the clock; the default is the real clock.
+func WithClock(c clockwork.Clock) Option { return func(d *Dialer) { d.clock = c } }
+
+// WithUserTimeout sets the maximum time that sent data may stay unacknowledged; the
+// default is two seconds.
+func WithUserTimeout(t time.Duration) Option { return func(d *Dialer) { d.userTimeout = t } }
+
+// New returns a dialer with time-outs for connections within a region. peers names in
+// metrics and log lines who is at the other end of its connections.
+func New(peers string, opts ...Option) *Dialer {
+	d := &Dialer{
+		peers:       peers,
+		userTimeout: defaultUserTimeout,
+		clock:       clockwork.NewRealClock(),
+		logger:      hclog.NewNullLogger(),
+		timedOut: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fireflypier_connections_timed_out_total", Help: "Connections ended by a time-out of TCP, by what the kernel knew of the peer.",
+			ConstLabels: prometheus.Labels{"peers": peers},
+		}, []string{"state"}),
+	}
+	for _, opt := range opts {
+		opt(d)
 	}
+	return d
 }
 
-// Dial opens a connection; the time-out is the earlier of DialTimeout and the
+// Collector returns the metrics of the connections.
+func (d *Dialer) Collector() prometheus.Collector { return d.timedOut }
+
+// Dial opens a connection; the time-out is the earlier of half a second and the
 // deadline of ctx.
-func (d Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout:         d.DialTimeout,
-		KeepAliveConfig: d.keepAlive(),
+		Timeout:         defaultDialTimeout,
+		KeepAliveConfig: keepAlive(),
 		Control:         d.control,
 	}
-	conn, err := dialer.DialContext(ctx, network, address)
-	return conn, errors.Wrap(err, "connect")
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	return d.wrap(c), nil
 }
 
 // Listen opens a TCP listener whose connections have the same user time-out and
 // keep-alive settings.
-func (d Dialer) Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: d.keepAlive(), Control: d.control}
-	listener, err := config.Listen(ctx, "tcp", address)
-	return listener, errors.Wrap(err, "listen")
+func (d *Dialer) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: d.control}
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return &listener{Listener: l, dialer: d}, nil
+}
+
+// wrap returns c as a conn if it is a TCP connection.
+func (d *Dialer) wrap(c net.Conn) net.Conn {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &conn{Conn: c, tcp: tcp, dialer: d}
+	}
+	return c
 }
 
-func (d Dialer) keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: d.KeepAliveIdle, Interval: d.KeepAliveInterval, Count: keepAliveProbes}
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: defaultKeepAliveIdle, Interval: defaultKeepAliveInterval, Count: keepAliveProbes}
 }
 
-func (d Dialer) control(_, _ string, c syscall.RawConn) error {
+func (d *Dialer) control(_, _ string, c syscall.RawConn) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.UserTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.userTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return errors.Wrap(err, "access socket")
 	}
 	return errors.Wrap(optErr, "set TCP_USER_TIMEOUT")
 }
+
+// listener returns connections as conns.
+type listener struct {
+	net.Listener
+	dialer *Dialer
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.dialer.wrap(c), nil
+}
