--- a/internal/serving/socket/conn.go
+++ b/internal/serving/socket/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -9,31 +10,40 @@
 	"github.com/pkg/errors"
 )
 
-// reportInterval is the minimum time between two log lines about time-outs.
-const reportInterval = time.Second
-
-// conn is a TCP connection whose time-out is logged and counted. It does not have the
-// ReadFrom and WriteTo of net.TCPConn, which would pass Write and Read by.
+// conn is a TCP connection that its dialer checks while sent data waits for the peer. It
+// does not have the ReadFrom and WriteTo of net.TCPConn, which would pass Write and Read by.
 type conn struct {
 	net.Conn
 	tcp    *net.TCPConn
 	dialer *Dialer
-	// timedOut is set once the time-out has been counted.
-	timedOut atomic.Bool
+
+	// watched is set while the connection is among those to check, writing is the number of
+	// Writes in progress.
+	watched atomic.Bool
+	writing atomic.Int32
+	// ended is set once the end by a time-out has been counted, aborted if a check has ended
+	// the connection.
+	ended, aborted atomic.Bool
+
+	// For checks, which come one after the other:
+	history history
+	// userTimeout is set while the kernel applies the user time-out.
+	userTimeout bool
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.observe(err)
-	return n, err
+	return n, c.observe("read", err)
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Add(1)
+	c.dialer.watch(c)
 	n, err := c.Conn.Write(p)
-	c.observe(err)
-	return n, err
+	c.writing.Add(-1)
+	return n, c.observe("write", err)
 }
 
 // CloseWrite closes the writing half of the connection.
@@ -48,29 +58,94 @@
 // SetWriteBuffer sets the size of the kernel's send buffer in bytes.
 func (c *conn) SetWriteBuffer(bytes int) error { return c.tcp.SetWriteBuffer(bytes) }
 
-// observe counts and logs the error of a Read or Write if the kernel has ended the
-// connection by a time-out.
-func (c *conn) observe(err error) {
-	if err == nil || !errors.Is(err, syscall.ETIMEDOUT) || c.timedOut.Swap(true) {
-		return
+// observe returns the error of a Read or Write. It counts the end of the connection if the kernel has
+// ended it by a time-out; if a check has, the error is the same as the kernel's.
+func (c *conn) observe(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	if c.aborted.Load() && errors.Is(err, net.ErrClosed) {
+		return &net.OpError{
+			Op: op, Net: c.RemoteAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(),
+			Err: os.NewSyscallError(op, syscall.ETIMEDOUT),
+		}
 	}
-	s, infoErr := readSendState(c.tcp)
-	c.dialer.reportTimeout(c.RemoteAddr(), s, infoErr)
+	if errors.Is(err, syscall.ETIMEDOUT) && !c.ended.Swap(true) {
+		s, infoErr := readSendState(c.tcp)
+		cause := "unknown"
+		if infoErr == nil {
+			cause = s.timeoutCause()
+		}
+		c.dialer.reportEnd(c, cause, s, infoErr)
+	}
+	return err
 }
 
-// reportTimeout counts a connection that has timed out in the given state, and logs it at
-// most once in reportInterval. infoErr is set if the state is not known.
-func (d *Dialer) reportTimeout(remote net.Addr, s sendState, infoErr error) {
-	state := "unknown"
-	if infoErr == nil {
-		state = s.timeoutCause()
+// check looks whether data waits for the peer, and bounds the wait. It returns false if there is
+// nothing to check for until the next Write.
+func (c *conn) check(now time.Time) bool {
+	// A Write that begins after this has the connection watched again. One that has begun is
+	// counted, or its data are in the state.
+	c.watched.Store(false)
+	writing := c.writing.Load() > 0
+	s, err := readSendState(c.tcp)
+	if err != nil {
+		c.handleCheckError(err)
+		return false
+	}
+	var v verdict
+	c.history, v = c.history.judge(s, now, c.dialer.userTimeout, c.dialer.unreadTimeout)
+	switch v.(type) {
+	case delivered:
+		c.applyUserTimeout(false)
+		return writing && !c.watched.Swap(true)
+	case inFlight:
+		c.applyUserTimeout(true)
+	case paused:
+		c.applyUserTimeout(false)
+	case gone:
+		c.abort("unreachable", s)
+		return false
+	case unread:
+		c.abort("unread", s)
+		return false
 	}
-	d.timedOut.WithLabelValues(state).Inc()
-	now, last := d.clock.Now().UnixNano(), d.reported.Load()
-	if now-last < int64(reportInterval) || !d.reported.CompareAndSwap(last, now) {
+	return !c.watched.Swap(true)
+}
+
+// applyUserTimeout sets whether the kernel applies the user time-out.
+func (c *conn) applyUserTimeout(on bool) {
+	if c.userTimeout == on {
 		return
 	}
-	d.logger.Warn("connection timed out", "peers", d.peers, "remote", remote.String(), "state", state, "info_error", infoErr,
-		"window", s.window, "unsent", s.unsent, "in_flight", s.inFlight, "retransmits", s.retransmits, "probes", s.probes,
-		"since_ack_ms", s.sinceAck.Milliseconds())
+	var timeout time.Duration
+	if on {
+		timeout = c.dialer.userTimeout
+	}
+	if err := setUserTimeout(c.tcp, timeout); err != nil {
+		c.handleCheckError(err)
+		return
+	}
+	c.userTimeout = on
+}
+
+// handleCheckError has the kernel bound the wait for the peer if that can't be checked.
+func (c *conn) handleCheckError(err error) {
+	if errors.Is(err, net.ErrClosed) {
+		return
+	}
+	c.dialer.logger.Debug("connection not checked", "peers", c.dialer.peers, "remote", c.RemoteAddr().String(), "error", err)
+	if err := setUserTimeout(c.tcp, c.dialer.userTimeout); err != nil {
+		c.dialer.logger.Debug("connection has no user time-out", "peers", c.dialer.peers, "remote", c.RemoteAddr().String(), "error", err)
+	}
+}
+
+// abort resets the connection.
+func (c *conn) abort(cause string, s sendState) {
+	c.ended.Store(true)
+	c.aborted.Store(true)
+	c.dialer.reportEnd(c, cause, s, nil)
+	// Errors mean that the connection was closed before.
+	_ = c.tcp.SetLinger(0)
+	_ = c.tcp.Close()
 }
--- a/internal/serving/socket/socket.go
+++ b/internal/serving/socket/socket.go
@@ -1,24 +1,29 @@
 // Package socket configures TCP connections so that a peer that stops answering
-// or becomes unreachable is detected within seconds.
+// or becomes unreachable is detected within seconds, while one that only stops reading
+// for a while loses nothing.
+//
+// TCP_USER_TIMEOUT alone does not tell the two apart: the kernel also ends a connection whose
+// peer acknowledges each probe of its closed window. It therefore applies only while data is in
+// flight, as periodic checks find it.
 package socket
 
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sys/unix"
 )
 
 const (
 	defaultDialTimeout       = 500 * time.Millisecond // several round trips, and below the one second that callers allow for a connection
 	defaultUserTimeout       = 2 * time.Second        // allows several retransmissions of a lost packet
+	defaultUnreadTimeout     = 20 * time.Second       // longer than callers wait for an answer, 15 s at most
 	defaultKeepAliveIdle     = 2 * time.Second        // limits the probe traffic of idle connections
 	defaultKeepAliveInterval = time.Second            // TCP_KEEPINTVL is in whole seconds
 	keepAliveProbes          = 2                      // one lost probe does not close the connection
@@ -29,15 +34,23 @@
 // knows of their peer.
 type Dialer struct {
 	peers string
-	// userTimeout is the maximum time that sent data may stay unacknowledged
-	// (TCP_USER_TIMEOUT), in whole milliseconds.
+	// userTimeout is the maximum time that data in flight may stay unacknowledged, and a peer
+	// that does not read may leave probes unanswered.
 	userTimeout time.Duration
-	clock       clockwork.Clock
-	logger      hclog.Logger
+	// unreadTimeout is the maximum time for which a peer may read nothing of what waits for it.
+	unreadTimeout time.Duration
+	clock         clockwork.Clock
+	logger        hclog.Logger
 	// timedOut counts connections that have timed out, by state; reported is when that was
 	// last logged, in nanoseconds.
 	timedOut *prometheus.CounterVec
 	reported atomic.Int64
+
+	mu sync.Mutex
+	// watched has the connections to check. A check is due while it is not empty, and in progress
+	// while checking is set.
+	watched  []*conn
+	checking bool
 }
 
 // Option configures a Dialer.
@@ -49,18 +62,23 @@
 // WithClock sets the clock; the default is the real clock.
 func WithClock(c clockwork.Clock) Option { return func(d *Dialer) { d.clock = c } }
 
-// WithUserTimeout sets the maximum time that sent data may stay unacknowledged; the
-// default is two seconds.
+// WithUserTimeout sets the maximum time, in whole milliseconds, that data in flight may
+// stay unacknowledged; the default is two seconds.
 func WithUserTimeout(t time.Duration) Option { return func(d *Dialer) { d.userTimeout = t } }
 
+// WithUnreadTimeout sets the maximum time for which a peer may read nothing of what waits
+// for it; the default is 20 seconds.
+func WithUnreadTimeout(t time.Duration) Option { return func(d *Dialer) { d.unreadTimeout = t } }
+
 // New returns a dialer with time-outs for connections within a region. peers names in
 // metrics and log lines who is at the other end of its connections.
 func New(peers string, opts ...Option) *Dialer {
 	d := &Dialer{
-		peers:       peers,
-		userTimeout: defaultUserTimeout,
-		clock:       clockwork.NewRealClock(),
-		logger:      hclog.NewNullLogger(),
+		peers:         peers,
+		userTimeout:   defaultUserTimeout,
+		unreadTimeout: defaultUnreadTimeout,
+		clock:         clockwork.NewRealClock(),
+		logger:        hclog.NewNullLogger(),
 		timedOut: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "fireflypier_connections_timed_out_total", Help: "Connections ended by a time-out of TCP, by what the kernel knew of the peer.",
 			ConstLabels: prometheus.Labels{"peers": peers},
@@ -78,11 +96,7 @@
 // Dial opens a connection; the time-out is the earlier of half a second and the
 // deadline of ctx.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout:         defaultDialTimeout,
-		KeepAliveConfig: keepAlive(),
-		Control:         d.control,
-	}
+	dialer := net.Dialer{Timeout: defaultDialTimeout, KeepAliveConfig: keepAlive()}
 	c, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
@@ -90,10 +104,10 @@
 	return d.wrap(c), nil
 }
 
-// Listen opens a TCP listener whose connections have the same user time-out and
-// keep-alive settings.
+// Listen opens a TCP listener whose connections have the same time-outs.
 func (d *Dialer) Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: d.control}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive()}
+	config.SetMultipathTCP(false) // its sockets have no TCP_USER_TIMEOUT
 	l, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -113,17 +127,6 @@
 	return net.KeepAliveConfig{Enable: true, Idle: defaultKeepAliveIdle, Interval: defaultKeepAliveInterval, Count: keepAliveProbes}
 }
 
-func (d *Dialer) control(_, _ string, c syscall.RawConn) error {
-	var optErr error
-	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return errors.Wrap(err, "access socket")
-	}
-	return errors.Wrap(optErr, "set TCP_USER_TIMEOUT")
-}
-
 // listener returns connections as conns.
 type listener struct {
 	net.Listener
--- a/internal/serving/socket/socket_test.go
+++ b/internal/serving/socket/socket_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -28,18 +29,22 @@
 	RunSpecs(t, "socket")
 }
 
-// accept returns a connection that d accepts, and its peer, which has a small receive buffer.
+// connect returns a connection of d and its peer, which has a small receive buffer.
+type connect func(d *socket.Dialer) (ours net.Conn, peer *net.TCPConn)
+
+func smallBuffer(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		defer GinkgoRecover()
+		Expect(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)).To(Succeed())
+	})
+}
+
+// accept returns a connection that d accepts.
 func accept(d *socket.Dialer) (ours net.Conn, peer *net.TCPConn) {
 	l, err := d.Listen(context.Background(), "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
-	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			defer GinkgoRecover()
-			Expect(unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)).To(Succeed())
-		})
-	}}
-	c, err := dialer.Dial("tcp", l.Addr().String())
+	c, err := (&net.Dialer{Control: smallBuffer}).Dial("tcp", l.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.Close)
 	ours, err = l.Accept()
@@ -48,6 +53,20 @@
 	return ours, c.(*net.TCPConn)
 }
 
+// dial returns a connection that d opens.
+func dial(d *socket.Dialer) (ours net.Conn, peer *net.TCPConn) {
+	l, err := (&net.ListenConfig{Control: smallBuffer}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	ours, err = d.Dial(context.Background(), "tcp", l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = ours.Close() })
+	c, err := l.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return ours, c.(*net.TCPConn)
+}
+
 // cutOff has the kernel drop all packets for a connection, as if its VM had lost power.
 func cutOff(c *net.TCPConn) {
 	raw, err := c.SyscallConn()
@@ -89,16 +108,91 @@
 	return counts
 }
 
-var _ = Describe("a connection", func() {
-	It("times out if its peer is unreachable, and says in log and metrics why", func() {
-		log := gbytes.NewBuffer()
-		d := socket.New("callers", socket.WithUserTimeout(userTimeout), socket.WithLogger(hclog.New(&hclog.LoggerOptions{Output: log})))
+// Guards against connections that are ended, with what they have sent, because a live peer
+// stopped reading for longer than the user time-out.
+var _ = Describe("a connection whose peer stops reading", func() {
+	const size, pause = 4800, 5 * userTimeout
+	DescribeTable("delivers everything once it reads again",
+		func(to connect, piece int) {
+			d := socket.New("callers", socket.WithUserTimeout(userTimeout))
+			ours, peer := to(d)
+			failed := make(chan error, 1)
+			go func() {
+				for sent := 0; sent < size; sent += piece {
+					if _, err := ours.Write(make([]byte, piece)); err != nil {
+						failed <- err
+						return
+					}
+				}
+				failed <- nil
+			}()
+			time.Sleep(pause)
+			Expect(peer.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+			n, err := io.CopyN(io.Discard, peer, size)
+			Expect(err).NotTo(HaveOccurred(), "%d of %d bytes", n, size)
+			Eventually(failed).Should(Receive(Succeed()))
+			Expect(timeouts(d)).To(BeEmpty())
+		},
+		Entry("a caller that gets an answer", connect(accept), size),
+		Entry("a caller that gets a stream of short events", connect(accept), 5),
+		Entry("a target that gets a request", connect(dial), size),
+	)
+})
+
+var _ = Describe("a connection times out, and says why", func() {
+	// expectTimeout expects that ours times out while peer is as it is.
+	expectTimeout := func(d *socket.Dialer, log *gbytes.Buffer, ours net.Conn, cause string) {
+		Eventually(readError(ours), "8s").Should(Receive(MatchError(syscall.ETIMEDOUT)))
+		Expect(log).To(gbytes.Say("connection timed out.*peers=callers.*state=" + cause))
+		Expect(timeouts(d)).To(Equal(map[string]float64{cause: 1}))
+	}
+	var (
+		d   *socket.Dialer
+		log *gbytes.Buffer
+	)
+	start := func(opts ...socket.Option) {
+		log = gbytes.NewBuffer()
+		d = socket.New("callers", append(opts, socket.WithUserTimeout(userTimeout), socket.WithLogger(hclog.New(&hclog.LoggerOptions{Output: log})))...)
+	}
+
+	It("if its peer is unreachable", func() {
+		start()
+		ours, peer := accept(d)
+		cutOff(peer)
+		_, err := ours.Write([]byte("an answer"))
+		Expect(err).NotTo(HaveOccurred())
+		expectTimeout(d, log, ours, "unacknowledged")
+	})
+
+	It("if its peer becomes unreachable while it does not read", func() {
+		start()
 		ours, peer := accept(d)
+		_, err := ours.Write(make([]byte, 4*receiveBytes))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(userTimeout)
 		cutOff(peer)
+		expectTimeout(d, log, ours, "unreachable")
+	})
+
+	It("if its peer becomes unreachable while nothing is sent", func() {
+		start()
+		ours, peer := accept(d)
 		_, err := ours.Write([]byte("an answer"))
 		Expect(err).NotTo(HaveOccurred())
-		Eventually(readError(ours), "5s").Should(Receive(MatchError(syscall.ETIMEDOUT)))
-		Expect(log).To(gbytes.Say("connection timed out.*peers=callers.*state=unacknowledged"))
-		Expect(timeouts(d)).To(Equal(map[string]float64{"unacknowledged": 1}))
+		time.Sleep(2 * userTimeout)
+		cutOff(peer)
+		expectTimeout(d, log, ours, "idle")
+	})
+
+	It("if its peer never reads, also while a Write waits", func() {
+		start(socket.WithUnreadTimeout(3 * userTimeout))
+		ours, _ := accept(d)
+		failed := make(chan error, 1)
+		go func() {
+			_, err := ours.Write(make([]byte, 32<<20)) // more than the kernel's buffers hold
+			failed <- err
+		}()
+		expectTimeout(d, log, ours, "unread")
+		Eventually(failed, "2s").Should(Receive(MatchError(syscall.ETIMEDOUT)))
 	})
 })
