forward: do not count the time for which a caller does not read as a stall

What callers saw: a stream whose caller stops reading for longer than 1.5 s or more is broken off at an engine that works, sent to another one, and charged to the retry budget. The log blames the engine.

Cause: the watchdog of an attempt was set when a part of a stream arrived, and ran on while that was written to the caller.

Change: it runs only while the VM waits for the target, as the timer of internal/engine does.

Test: slow_caller_test.go. Bodies of the scripted targets now fail once their attempt is canceled, as those of HTTP answers do.

--- a/internal/serving/forward/fakes_test.go
+++ b/internal/serving/forward/fakes_test.go
@@ -85,7 +85,7 @@
 		body = io.MultiReader(body, brokenReader{})
 	}
 	return &exchange.Answer{
-		Status: r.status, Header: http.Header{"X-Target": {a.Target.ID}}, Body: io.NopCloser(body),
+		Status: r.status, Header: http.Header{"X-Target": {a.Target.ID}}, Body: io.NopCloser(contextReader{ctx, body}),
 		NotRun: r.notRun, Refusal: r.refusal, Misdirected: r.misdirected, Signed: !r.notRun && !r.misdirected,
 		Marks: target.Marks{Leaving: r.leaving, Distance: r.distance, Limit: r.limit, Cold: r.cold},
 	}, nil
@@ -111,6 +111,19 @@
 	return 0, io.EOF
 }
 
+// contextReader fails once its context has ended, as the body of an HTTP answer does.
+type contextReader struct {
+	ctx context.Context
+	r   io.Reader
+}
+
+func (r contextReader) Read(p []byte) (int, error) {
+	if err := r.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return r.r.Read(p)
+}
+
 type stalledReader struct{ ctx context.Context }
 
 func (r stalledReader) Read([]byte) (int, error) {
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -87,13 +87,14 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			dog.event()
+			dog.stop() // while the caller does not read, the target need not send
 			j.recordFirstEvent(ticket)
 			j.recordPause()
 			j.writeHeader(answer)
 			if writeErr := s.write(buffer[:n]); writeErr != nil {
 				return j.handleWriteError(writeErr)
 			}
+			dog.awaitEvent()
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(s.pending) == 0:
--- a/internal/serving/forward/watchdog.go
+++ b/internal/serving/forward/watchdog.go
@@ -46,9 +46,8 @@
 	return w
 }
 
-// event records that a part of the answer has arrived.
-func (w *watchdog) event() {
-	w.stop()
+// awaitEvent begins the wait for the next part of a stream.
+func (w *watchdog) awaitEvent() {
 	if w.stall > 0 {
 		w.timer = time.AfterFunc(w.stall, w.fire)
 	}
