socket: bound how long the kernel keeps what a closed connection has not delivered

A connection that is closed before its peer has read everything is no longer checked. Since the user time-out no longer applies to live peers that do not read, the kernel would keep its buffers for minutes if the peer has gone, or for as long as it does not read.

What is read within that time is still delivered.

Test: "does not keep it for longer than the peer may read nothing" failed before: the peer got all 4800 bytes after four times the limit. "delivers it" passed before and after.

--- a/internal/serving/socket/conn.go
+++ b/internal/serving/socket/conn.go
@@ -46,6 +46,13 @@
 	return n, c.observe("write", err)
 }
 
+// Close implements net.Conn. The kernel goes on delivering what waits for the peer, unless that reads
+// nothing for too long.
+func (c *conn) Close() error {
+	c.setUserTimeout(c.dialer.unreadTimeout)
+	return c.Conn.Close()
+}
+
 // CloseWrite closes the writing half of the connection.
 func (c *conn) CloseWrite() error { return c.tcp.CloseWrite() }
 
@@ -135,7 +142,12 @@
 		return
 	}
 	c.dialer.logger.Debug("connection not checked", "peers", c.dialer.peers, "remote", c.RemoteAddr().String(), "error", err)
-	if err := setUserTimeout(c.tcp, c.dialer.userTimeout); err != nil {
+	c.setUserTimeout(c.dialer.userTimeout)
+}
+
+// setUserTimeout has the kernel apply the given user time-out, if the connection is open.
+func (c *conn) setUserTimeout(d time.Duration) {
+	if err := setUserTimeout(c.tcp, d); err != nil && !errors.Is(err, net.ErrClosed) {
 		c.dialer.logger.Debug("connection has no user time-out", "peers", c.dialer.peers, "remote", c.RemoteAddr().String(), "error", err)
 	}
 }
--- a/internal/serving/socket/socket_test.go
+++ b/internal/serving/socket/socket_test.go
@@ -139,6 +139,30 @@
 	)
 })
 
+var _ = Describe("a connection that is closed before its peer has read everything", func() {
+	const size = 4800
+	// read returns the number of bytes that the peer gets after a pause.
+	read := func(unreadTimeout, pause time.Duration) int64 {
+		ours, peer := accept(socket.New("callers", socket.WithUserTimeout(userTimeout), socket.WithUnreadTimeout(unreadTimeout)))
+		_, err := ours.Write(make([]byte, size))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ours.Close()).To(Succeed())
+		time.Sleep(pause)
+		Expect(peer.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		n, _ := io.Copy(io.Discard, peer) // the number tells what an error would
+		return n
+	}
+
+	It("delivers it", func() {
+		Expect(read(20*userTimeout, 5*userTimeout)).To(BeEquivalentTo(size))
+	})
+
+	// Guards against connections that nobody watches any longer.
+	It("does not keep it for longer than the peer may read nothing", func() {
+		Expect(read(2*userTimeout, 8*userTimeout)).To(BeNumerically("<", size))
+	})
+})
+
 var _ = Describe("a connection times out, and says why", func() {
 	// expectTimeout expects that ours times out while peer is as it is.
 	expectTimeout := func(d *socket.Dialer, log *gbytes.Buffer, ours net.Conn, cause string) {
