--- a/internal/serving/socket/watch.go
+++ b/internal/serving/socket/watch.go
@@ -1,12 +1,11 @@
 package socket
 
-import (
-	"time"
-)
+import "time"
 
 const (
-	// checksPerUserTimeout is how often a connection is checked within the user time-out. Before
-	// the time-out is set, the kernel may back off from a lost packet up to 1.4 s.
+	// checksPerUserTimeout is how often a connection is checked within the user time-out. With the
+	// default, the first check after a packet is lost comes before its third retransmission (1.4 s
+	// later on short ways), and the kernel then ends the wait for the fourth at the time-out.
 	checksPerUserTimeout = 2
 	// reportInterval is the minimum time between two log lines about time-outs.
 	reportInterval = time.Second
