--- a/review/_standin3/engine.go
+++ b/review/_standin3/engine.go
@@ -63,6 +63,8 @@
 	orderDelay time.Duration
 	running    int
 	crashed    bool
+	// restart serves on a listener.
+	restart func(l net.Listener)
 	// serve, if set, serves a request instead of the default.
 	serve func(w http.ResponseWriter, r *http.Request, id string) bool
 }
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
 	"leader-leaves": leaderLeaves,
 	"many-parts":    manyParts,
+	"deadly":        deadlyRestarts,
 }
 
 func main() {
