--- a/review/_standin3/deadly.go
+++ b/review/_standin3/deadly.go
@@ -23,8 +23,10 @@
 // plainConfig returns a configuration with a plain service.
 func plainConfig(version int) []byte {
 	route := func(name, kind string, attempts int) map[string]any {
-		return map[string]any{"name": name, "hostname": "h.example", "prefix": "/" + name + "/", "type": kind, "timeout_ms": 1500, "target_latency_ms": 150,
-			"priority": 2, "service": "plain", "max_attempts": attempts, "no_auth": false, "resumable": false}
+		return map[string]any{
+			"name": name, "hostname": "h.example", "prefix": "/" + name + "/", "type": kind, "timeout_ms": 1500, "target_latency_ms": 150,
+			"priority": 2, "service": "plain", "max_attempts": attempts, "no_auth": false, "resumable": false,
+		}
 	}
 	data, _ := json.Marshal(map[string]any{
 		"version": version, "routes": []map[string]any{route("buy", "unsafe", 1), route("look", "safe", 2)},
