Tell how old a VM's news of the store is, and whence it came

Cause: nothing tells a VM without news of its configuration from one whose configuration has not changed, nor a silent hub from silent store readers or from peers without news themselves. Change: copies of tables, digests and answers to fetches bear their age; a metric, and a log line when a copy becomes older than half of the time that changes have. No decision depends on it.

--- a/internal/serving/mesh/mesh.go
+++ b/internal/serving/mesh/mesh.go
@@ -357,6 +357,7 @@
 		return c, false, errors.Wrap(err, "fetch table from peer")
 	}
 	c.Version, c.Complete, c.ChangedAt = reply.GetVersion(), reply.GetComplete(), reply.GetChangedAt()
+	c.Age, c.Source = time.Duration(reply.GetAgeMs())*time.Millisecond, addr
 	c.Rows, c.Doubted, c.Held = meshpb.DecodeRows(reply.GetRows()), meshpb.DecodeRows(reply.GetDoubted()), reply.GetHeld()
 	return c, c.Version > 0, nil
 }
@@ -409,7 +410,7 @@
 	c := s.m.delegate.Changes(t, r.GetAbove())
 	return &meshpb.FetchReply{
 		Version: c.Version, Complete: c.Complete, ChangedAt: c.ChangedAt,
-		Rows: meshpb.EncodeRows(c.Rows), Doubted: meshpb.EncodeRows(c.Doubted), Held: c.Held,
+		Rows: meshpb.EncodeRows(c.Rows), Doubted: meshpb.EncodeRows(c.Doubted), Held: c.Held, AgeMs: c.Age.Milliseconds(),
 	}, nil
 }
 
--- a/internal/serving/node/delegate.go
+++ b/internal/serving/node/delegate.go
@@ -19,7 +19,12 @@
 func (m meshDelegate) Digest(p *mesh.Peer, relation meshpb.Relation) *meshpb.Digest {
 	n := m.n
 	n.announce()
-	d := &meshpb.Digest{PolicyVersion: n.policies.ChangedAt(), TargetsVersion: n.targets.ChangedAt()}
+	policyVersion, policyAge := n.policies.News()
+	targetsVersion, targetsAge := n.targets.News()
+	d := &meshpb.Digest{
+		PolicyVersion: policyVersion, PolicyAgeMs: policyAge.Milliseconds(),
+		TargetsVersion: targetsVersion, TargetsAgeMs: targetsAge.Milliseconds(),
+	}
 	d.WantsWeights = n.wantsWeights()
 	seen := n.seenBy(p)
 	d.Sends, d.SendsUpto = n.view.SendsAfter(seen.sends, relation == meshpb.Relation_RELATION_TOTALS)
@@ -151,6 +156,8 @@
 	if d.GetPolicyVersion() <= n.policies.ChangedAt() {
 		n.fresh.Heard(now)
 	}
+	n.policies.Confirm(p.Address, d.GetPolicyVersion(), time.Duration(d.GetPolicyAgeMs())*time.Millisecond)
+	n.targets.Confirm(p.Address, d.GetTargetsVersion(), time.Duration(d.GetTargetsAgeMs())*time.Millisecond)
 	n.catchUp(p, n.policies, rowstore.Policies, d.GetPolicyVersion())
 	n.catchUp(p, n.targets, rowstore.Targets, d.GetTargetsVersion())
 }
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -184,6 +184,7 @@
 	n.policies = tablefeed.New(config.Store, rowstore.Policies, "policies", config.Logger, n.policyChanged,
 		tablefeed.WithRestorationHold(evacuationHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(policyLag(&s.Bounds)))
 	n.targets = tablefeed.New(config.Store, rowstore.Targets, "targets", config.Logger, n.targetsChanged, tablefeed.WithHold(targetRowHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(changeLag(&s.Bounds)))
+	n.registry.MustRegister(tableAge(n.policies, "policies"), tableAge(n.targets, "targets"))
 	n.fleet = newFleet(n.ownSummary)
 	peerOptions, err := n.newGuards()
 	if err != nil {
@@ -251,6 +252,17 @@
 	return n, nil
 }
 
+// tableAge returns the metric of the age of a copy of a table.
+func tableAge(f *tablefeed.Feed, table string) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "fireflypier_serving_table_age_seconds", ConstLabels: prometheus.Labels{"table": table},
+		Help: "Time since the last answer of the store, to any VM, that the copy of the table holds.",
+	}, func() float64 {
+		_, age := f.News()
+		return age.Seconds()
+	})
+}
+
 // newGuards creates the guards of the connections. A deployment whose settings have no memory limit
 // has none.
 func (n *Node) newGuards() ([]peer.ServerOption, error) {
--- a/internal/serving/rowstore/rowstore.go
+++ b/internal/serving/rowstore/rowstore.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,6 +69,10 @@
 	Held []string
 	// ChangedAt is the version of the newest change that the VM knows of.
 	ChangedAt int64
+	// Age is the time since the last answer of the store that the copy holds.
+	Age time.Duration
+	// Source is the peer that has sent the copy.
+	Source netip.AddrPort
 }
 
 // numberBits is the number of bits of a version that hold the transaction's number. With
--- a/internal/serving/tablefeed/tablefeed.go
+++ b/internal/serving/tablefeed/tablefeed.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sort"
 	"sync"
 	"time"
@@ -26,6 +27,9 @@
 	// is noticed after the wait and the call's time-out; the next poll and the way to
 	// the other VMs must fit into the rest of the lag.
 	waitsPerLag = 4
+	// agesPerLag is the lag divided by the age from which on a copy is late. While all is well,
+	// a copy is at most as old as one poll and the way to the other VMs take.
+	agesPerLag = 2
 	// firstReadWait is how long a feed that should not read the store, or has been
 	// offered a peer's copy, waits for one before it reads its first copy from the store.
 	firstReadWait = 1200 * time.Millisecond
@@ -67,6 +71,8 @@
 	// pollInterval is the minimum time between the starts of two polls, pollWait the
 	// maximum wait of one.
 	pollInterval, pollWait time.Duration
+	// maxAge is the age from which on the copy counts as late.
+	maxAge time.Duration
 
 	// applyMu is held while changes are applied and reported, so that they are reported in
 	// the order of their versions. It is locked before mu.
@@ -94,6 +100,12 @@
 	// version up to which rows were complete then.
 	lastNews, outageEnd time.Time
 	outageVersion       int64
+	// asOf is the time of the newest answer of the store, to any VM, that rows hold. source is
+	// the peer that told so, invalid if this VM got the answer, and heardAt when it did. late
+	// is set while the copy is older than maxAge.
+	asOf, heardAt time.Time
+	source        netip.AddrPort
+	late          bool
 	// held has the rows that the store has deleted and that are still in rows,
 	// with the time at which they are dropped.
 	held map[string]time.Time
@@ -145,7 +157,7 @@
 // WithLag sets the time within which a change of the table must take effect; the
 // intervals and waits of polls are parts of it.
 func WithLag(d time.Duration) Option {
-	return func(f *Feed) { f.pollInterval, f.pollWait = d/pollsPerLag, d/waitsPerLag }
+	return func(f *Feed) { f.pollInterval, f.pollWait, f.maxAge = d/pollsPerLag, d/waitsPerLag, d/agesPerLag }
 }
 
 // WithClock sets the clock; the default is the real one.
@@ -196,6 +208,7 @@
 			f.callFailed(err, began)
 		}
 		f.expire()
+		f.checkAge()
 		if gap := interval - f.clock.Since(began); gap > 0 {
 			select {
 			case <-f.clock.After(gap):
@@ -220,6 +233,7 @@
 	f.failingSince = time.Time{} // unknown while this VM makes no calls
 	f.mu.Unlock()
 	f.expire()
+	f.checkAge()
 	interval := idleInterval
 	if !read {
 		interval = firstReadInterval
@@ -257,18 +271,22 @@
 	if err != nil {
 		return err
 	}
+	answered := f.clock.Now()
 	f.callSucceeded()
 	f.apply(rowstore.Copy{Page: page}, f.hold)
+	f.recordAnswer(page.Version, answered)
 	return nil
 }
 
 func (f *Feed) list(ctx context.Context) error {
+	began := f.clock.Now()
 	page, err := f.store.List(ctx, f.table)
 	if err != nil {
 		return err
 	}
 	f.callSucceeded()
 	f.apply(rowstore.Copy{Page: page, Complete: true}, f.hold)
+	f.recordAnswer(page.Version, began)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.logger.Info("table listed", "table", f.name, "rows", len(page.Rows), "version", page.Version, "changed_at", f.changedAt)
@@ -310,6 +328,71 @@
 	f.lastNews = now
 }
 
+// recordAge records that the rows hold an answer of the store of the time asOf, as a peer
+// tells, or as this VM got it if the peer is invalid. The caller holds f.mu.
+func (f *Feed) recordAge(asOf time.Time, peer netip.AddrPort) {
+	if !asOf.After(f.asOf) {
+		return
+	}
+	f.asOf, f.source, f.heardAt = asOf, peer, f.clock.Now()
+}
+
+// recordAnswer records that the rows hold an answer that the store gave this VM. An answer of an
+// older state than that of the rows tells nothing of changes since.
+func (f *Feed) recordAnswer(version int64, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version >= f.version {
+		f.recordAge(at, netip.AddrPort{})
+	}
+}
+
+// checkAge logs that the copy has become late, or no longer is.
+func (f *Feed) checkAge() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	late := f.read && now.Sub(f.asOf) > f.maxAge
+	if late == f.late {
+		return
+	}
+	f.late = late
+	message, source := "news of the table again", ""
+	if late {
+		message = "no news of the table"
+	}
+	if f.source.IsValid() {
+		source = f.source.String()
+	}
+	f.logger.Info(message, "table", f.name, "age_ms", now.Sub(f.asOf).Milliseconds(), "changed_at", f.changedAt,
+		"source", source, "heard_ms", now.Sub(f.heardAt).Milliseconds(), "store_failing", !f.failingSince.IsZero())
+}
+
+// Confirm tells that a peer knows of no change after the version changedAt, as of an answer of
+// the store of the given age. It has no effect if this copy is older.
+func (f *Feed) Confirm(peer netip.AddrPort, changedAt int64, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.read && changedAt > 0 && changedAt <= f.changedAt {
+		f.recordAge(f.clock.Now().Add(-age), peer)
+	}
+}
+
+// News returns the version of the newest change in the copy, and the time since the last answer of
+// the store, to any VM, that the copy holds; zero if the table was not read.
+func (f *Feed) News() (changedAt int64, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changedAt, f.age()
+}
+
+func (f *Feed) age() time.Duration {
+	if !f.read {
+		return 0
+	}
+	return f.clock.Since(f.asOf)
+}
+
 // apply applies changes, or a copy of the whole table. Rows that are deleted within hold
 // after an outage are kept until hold has passed.
 func (f *Feed) apply(c rowstore.Copy, hold time.Duration) {
@@ -529,6 +612,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.changedAt = max(f.changedAt, c.ChangedAt)
+	f.recordAge(f.clock.Now().Add(-c.Age), c.Source)
 }
 
 // Changes returns the rows that have changed after a version, or the whole table if rows
@@ -543,6 +627,7 @@
 		Page:      rowstore.Page{Version: f.version},
 		Complete:  above == 0 || f.deletedAt > above,
 		ChangedAt: f.changedAt,
+		Age:       f.age(),
 	}
 	for _, r := range f.rows {
 		if c.Complete || r.Version > above {
