--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -182,8 +182,11 @@
 	n.registry.MustRegister(newEvacuationCollector(n))
 	n.registry.MustRegister(config.Collectors...)
 	n.policies = tablefeed.New(config.Store, rowstore.Policies, "policies", config.Logger, n.policyChanged,
-		tablefeed.WithRestorationHold(evacuationHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(policyLag(&s.Bounds)))
-	n.targets = tablefeed.New(config.Store, rowstore.Targets, "targets", config.Logger, n.targetsChanged, tablefeed.WithHold(targetRowHold), tablefeed.WithReadCondition(n.readsStore), tablefeed.WithLag(changeLag(&s.Bounds)))
+		tablefeed.WithRestorationHold(evacuationHold), tablefeed.WithReadCondition(n.readsStore),
+		tablefeed.WithRetryInterval(n.storeRetryInterval), tablefeed.WithLag(policyLag(&s.Bounds)))
+	n.targets = tablefeed.New(config.Store, rowstore.Targets, "targets", config.Logger, n.targetsChanged,
+		tablefeed.WithHold(targetRowHold), tablefeed.WithReadCondition(n.readsStore),
+		tablefeed.WithRetryInterval(n.storeRetryInterval), tablefeed.WithLag(changeLag(&s.Bounds)))
 	n.registry.MustRegister(tableAge(n.policies, "policies"), tableAge(n.targets, "targets"))
 	n.fleet = newFleet(n.ownSummary)
 	peerOptions, err := n.newGuards()
--- a/internal/serving/node/state.go
+++ b/internal/serving/node/state.go
@@ -252,6 +252,8 @@
 	// changes from them. With two, changes still arrive while one of them has failed
 	// and still counts as live.
 	storeReaders = 2
+	// retryInterval is the time between two calls of a reader that the store does not answer.
+	retryInterval = 400 * time.Millisecond
 	// peerWait is how long a started process waits to hear of other VMs before it
 	// follows the store.
 	peerWait = 500 * time.Millisecond
@@ -290,6 +292,20 @@
 	return rank < storeReaders
 }
 
+// storeRetryInterval returns the time between two calls of this VM while the store does not
+// answer them. The VMs that it does not answer share the rate of the usual readers: one that it
+// answers again tells the others.
+func (n *Node) storeRetryInterval() time.Duration {
+	failing := 1
+	n.mesh.Live(func(p *mesh.Peer) {
+		if p.StoreFails {
+			failing++
+		}
+	})
+	interval := retryInterval * time.Duration(max(1, failing/storeReaders))
+	return interval - rand.N(interval/4)
+}
+
 // catchUp fetches a table from a peer that has a newer version, unless the change
 // arrives first from the store. At most one fetch per table runs at a time.
 func (n *Node) catchUp(p *mesh.Peer, feed *tablefeed.Feed, t rowstore.Table, version int64) {
