Tests for bodies without bounds, with ordinary bodies and with little processor time

Cause: not known yet. Hypotheses: (1) the memory of what was given up is counted as free before it is free, which shows where the process gets little processor time; (2) bodies that are never ended keep the memory for bodies, within the budget, from ordinary ones; (3) a body's memory is larger than what is counted.

--- a/tests/flood/flood_test.go
+++ b/tests/flood/flood_test.go
@@ -211,6 +211,9 @@
 	*fleet.Process
 	ports       []port
 	descriptors int
+	// bodies is the first port with an ordinary request that has a body. It is only asked in the
+	// specs of bodies.
+	bodies port
 }
 
 // answers waits until an ordinary request to each of some ports is answered. A caller that was
@@ -228,12 +231,13 @@
 func (p *process) withstands(at port, send caller) {
 	GinkgoHelper()
 	answers(p.ports...)
+	answers(p.bodies)
 	c := newCrowd(at.addr, send)
 	defer c.leave()
 	p.lives()
-	answers(at, p.ports[0])
+	answers(at, p.ports[0], p.bodies)
 	c.leave()
-	answers(at, p.ports[0])
+	answers(at, p.ports[0], p.bodies)
 	p.lives()
 	peak := p.status("VmHWM:")
 	AddReportEntry("peak memory in MB", float64(peak)/(1<<20))
--- a/tests/flood/node_test.go
+++ b/tests/flood/node_test.go
@@ -92,7 +92,10 @@
 var requests atomic.Int64
 
 // startNode starts a node whose limit of open files is descriptors.
-func startNode(descriptors int) *process {
+func startNode(descriptors int) *process { return startNodeBy(descriptors, "") }
+
+// startNodeBy starts such a node by a command that runs the one that follows it.
+func startNodeBy(descriptors int, by string) *process {
 	addrs := make([]netip.AddrPort, 5)
 	for i := range addrs {
 		addrs[i] = fleet.FreeAddr()
@@ -113,7 +116,7 @@
 bounds: {grace_s: 4, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 50, quota_window_s: 8, quota_overage: 0.1, quota_slack: 110000, lease_ms: 3000, ttl_max_s: 5}
 platform: {address: "%s"}
 `, front, ready, directory, peer.Port(), admin.Port(), memoryMB, descriptors, newStore(newTarget())), 0o600)).To(Succeed())
-	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s node", descriptors, programs.Fireflypier))
+	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s %s node", descriptors, by, programs.Fireflypier))
 	cmd.Env = append(os.Environ(), "FIREFLYPIER_CONFIG="+file)
 	started, err := fleet.Start(dir, "node", cmd)
 	Expect(err).NotTo(HaveOccurred())
@@ -136,7 +139,7 @@
 		gets(directory, "/resolve?zone=a", http.StatusOK),
 		gets(admin, "/healthz", http.StatusOK),
 		{addr: peer},
-	}, descriptors}
+	}, descriptors, port{}}
 }
 
 // Guards against a process that ends for want of memory, that hangs or that turns ordinary
