Count the memory of a given-up connection until its goroutine has ended

Callers with long headers and bodies that they do not end brought a process to 227 MB of 80 where it got little processor time.

Cause: a connection that is given up for others counted as free at once. Until its goroutine has run, up to 1 MB of parsed header is still there, and the next connection has taken its place. The header of a request that was refused before its body had arrived stayed for the half second for which net/http keeps the connection. Class: memory that counts as free when its release is ordered. Change: it counts until the connection is closed; who needs it waits, a second at most. A refused request releases its header at once. The request of a connection that is given up is canceled. The other specs of connbudget close what is given up at once, as the listener does.

--- a/internal/connbudget/connbudget.go
+++ b/internal/connbudget/connbudget.go
@@ -1,6 +1,7 @@
 // Package connbudget decides which connections a process keeps when their memory or their
 // number reaches its limit. It does no I/O: the caller accounts for what arrives, and closes
-// what the budget gives up.
+// what the budget gives up. The memory of a connection that was given up counts until its
+// goroutine has ended; who needs it waits.
 package connbudget
 
 import (
@@ -33,6 +34,8 @@
 	serving
 	// idle: the last request has ended and nothing has arrived since.
 	idle
+	// ending: the connection was given up, and its goroutine has not ended yet.
+	ending
 	closed
 )
 
@@ -47,6 +50,10 @@
 	// waiting has the connections that are sending and those that are idle, in the order in
 	// which they began to be so.
 	waiting map[state]*list.List
+	// ending is the memory of connections that were given up and have not been closed yet.
+	// changed is closed, and replaced, when some of it is released, or more is given up.
+	ending  int64
+	changed chan struct{}
 	evicted int64
 	refused int64
 }
@@ -57,6 +64,7 @@
 		memory:  buffermemory.New(memory),
 		limit:   limit,
 		waiting: map[state]*list.List{sending: list.New(), idle: list.New()},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -75,9 +83,10 @@
 }
 
 // Open accounts for a new connection. It returns nil if there is no room and no connection can
-// be given up for it, since all of them serve requests.
-func (b *Budget) Open(now time.Time, evict func(age time.Duration)) *Connection {
-	c := &Connection{budget: b, evict: evict, state: closed}
+// be given up for it, since all of them serve requests. If room is about to be made, wait is
+// not nil: call Open again when it is closed.
+func (b *Budget) Open(now time.Time, evict func(age time.Duration)) (c *Connection, wait <-chan struct{}) {
+	c = &Connection{budget: b, evict: evict, state: closed}
 	b.mu.Lock()
 	var victims []*Connection
 	for b.open >= b.limit {
@@ -90,26 +99,36 @@
 	full := b.open >= b.limit
 	if !full {
 		var more []*Connection
-		more, full = b.reserve(c, connectionBytes)
+		more, full, wait = b.reserve(c, connectionBytes)
 		victims = append(victims, more...)
 	}
-	if full {
+	switch {
+	case wait != nil:
+	case full:
 		b.refused++
-	} else {
+	default:
 		b.open++
 		b.enter(c, sending, now)
 	}
 	b.mu.Unlock()
 	tell(victims, now)
-	if full {
-		return nil
+	if full || wait != nil {
+		return nil, wait
 	}
-	return c
+	return c, nil
+}
+
+// Refuse counts a connection that is closed since no room was made for it in time.
+func (b *Budget) Refuse() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refused++
 }
 
-// Received accounts for memory that a part of a request takes. It returns false if the
-// connection has been given up.
-func (c *Connection) Received(cost int64, now time.Time) bool {
+// Received accounts for memory that a part of a request takes. kept is false if the
+// connection has been given up. If room is about to be made, wait is not nil: call Received
+// again when it is closed.
+func (c *Connection) Received(cost int64, now time.Time) (kept bool, wait <-chan struct{}) {
 	b := c.budget
 	b.mu.Lock()
 	if c.state == idle {
@@ -117,17 +136,18 @@
 	}
 	var victims []*Connection
 	if c.state == sending {
-		victims, _ = b.reserve(c, cost)
+		victims, _, wait = b.reserve(c, cost)
 	}
-	kept := c.state != closed
+	kept = c.open()
 	b.mu.Unlock()
 	tell(victims, now)
-	return kept
+	return kept, wait
 }
 
-// Whole tells that a whole request has arrived. It returns false if the connection has been
-// given up, also now, for want of memory: the request must not be passed on.
-func (c *Connection) Whole(now time.Time) bool {
+// Whole tells that a whole request has arrived. kept is false if the connection has been
+// given up, also now, for want of memory: the request must not be passed on. If room is about
+// to be made, wait is not nil: call Whole again when it is closed.
+func (c *Connection) Whole(now time.Time) (kept bool, wait <-chan struct{}) {
 	b := c.budget
 	b.mu.Lock()
 	var victims []*Connection
@@ -137,30 +157,64 @@
 			cost += bufferedRequestBytes
 		}
 		var full bool
-		if victims, full = b.reserve(c, cost); !full && c.state != closed {
+		if victims, full, wait = b.reserve(c, cost); !full && wait == nil && c.open() {
 			b.enter(c, serving, now)
 		}
 	}
-	kept := c.state != closed
+	kept = c.open()
 	b.mu.Unlock()
 	tell(victims, now)
-	return kept
+	return kept, wait
 }
 
+// GiveUp gives up the connection, for which no room was made in time, unless it serves a
+// request.
+func (c *Connection) GiveUp(now time.Time) {
+	b := c.budget
+	b.mu.Lock()
+	given := c.state == sending || c.state == idle
+	if given {
+		b.giveUp(c)
+	}
+	b.mu.Unlock()
+	if given {
+		c.evict(now.Sub(c.since))
+	}
+}
+
+// open reports whether the connection has not been given up. The caller holds the budget's
+// mutex.
+func (c *Connection) open() bool { return c.state != ending && c.state != closed }
+
 // Rest tells that the request in progress has ended. Its memory is released.
 func (c *Connection) Rest(now time.Time) {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.state == closed || c.state == idle {
+	if !c.open() || c.state == idle {
 		return
 	}
-	b.memory.Release(c.held - connectionBytes)
+	b.release(c.held - connectionBytes)
 	c.held = connectionBytes
 	b.enter(c, idle, now)
 }
 
-// Close tells that the connection is closed.
+// Answered tells that the handler of a request has returned. It returns true if the request is
+// not whole: no more of it is accounted for, and its header must be released.
+func (c *Connection) Answered(now time.Time) bool {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.state != sending {
+		return false
+	}
+	b.release(c.held - connectionBytes)
+	c.held = connectionBytes
+	b.enter(c, idle, now)
+	return true
+}
+
+// Close tells that the connection is closed and its goroutine is about to end.
 func (c *Connection) Close() {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
@@ -181,20 +235,35 @@
 }
 
 // reserve reserves memory for c and gives up connections for it, possibly c itself. full tells
-// that it has not reserved the memory.
-func (b *Budget) reserve(c *Connection, n int64) (victims []*Connection, full bool) {
+// that it has not reserved the memory, wait that it will be there when connections that were
+// given up have ended.
+func (b *Budget) reserve(c *Connection, n int64) (victims []*Connection, full bool, wait <-chan struct{}) {
 	for !b.memory.Reserve(n) {
+		if b.memory.Used()-b.ending+n <= b.memory.Limit() {
+			return victims, false, b.changed
+		}
 		v := b.giveUpOne()
 		if v == nil {
-			return victims, true
+			return victims, true, nil
 		}
 		victims = append(victims, v)
 		if v == c {
-			return victims, true
+			return victims, true, nil
 		}
 	}
 	c.held += n
-	return victims, false
+	return victims, false, nil
+}
+
+// release releases memory and tells those who wait for it.
+func (b *Budget) release(n int64) {
+	b.memory.Release(n)
+	b.tellChanged()
+}
+
+func (b *Budget) tellChanged() {
+	close(b.changed)
+	b.changed = make(chan struct{})
 }
 
 // giveUpOne gives up the connection that has been sending longest without a whole request, or
@@ -212,11 +281,20 @@
 		return nil
 	}
 	c, _ := first.Value.(*Connection)
-	b.remove(c)
-	b.evicted++
+	b.giveUp(c)
 	return c
 }
 
+// giveUp gives up a connection. Its memory counts until it is closed.
+func (b *Budget) giveUp(c *Connection) {
+	b.leave(c)
+	c.state = ending
+	b.ending += c.held
+	b.open--
+	b.evicted++
+	b.tellChanged()
+}
+
 func (b *Budget) enter(c *Connection, s state, now time.Time) {
 	b.leave(c)
 	c.state, c.since = s, now
@@ -233,14 +311,18 @@
 }
 
 func (b *Budget) remove(c *Connection) {
-	if c.state == closed {
+	switch c.state {
+	case closed:
 		return
+	case ending:
+		b.ending -= c.held
+	case sending, serving, idle:
+		b.leave(c)
+		b.open--
 	}
-	b.leave(c)
 	c.state = closed
-	b.memory.Release(c.held)
+	b.release(c.held)
 	c.held = 0
-	b.open--
 }
 
 func tell(victims []*Connection, now time.Time) {
--- a/internal/connbudget/connbudget_test.go
+++ b/internal/connbudget/connbudget_test.go
@@ -31,12 +31,47 @@
 	age       time.Duration
 }
 
+// open opens a connection. One that is given up ends at once.
 func open(b *connbudget.Budget, now time.Time) *caller {
 	c := &caller{}
-	c.Connection = b.Open(now, func(age time.Duration) { c.evictions, c.age = c.evictions+1, age })
+	retry(func() (wait <-chan struct{}) {
+		c.Connection, wait = b.Open(now, func(age time.Duration) {
+			c.evictions, c.age = c.evictions+1, age
+			c.Close()
+		})
+		return wait
+	})
 	return c
 }
 
+// retry calls account until it need not wait. Nothing else runs meanwhile, so that room is there
+// at once.
+func retry(account func() (wait <-chan struct{})) {
+	GinkgoHelper()
+	for wait := account(); wait != nil; wait = account() {
+		Expect(wait).To(BeClosed())
+	}
+}
+
+// Received and Whole account for a part of a request, and a whole one.
+func (c *caller) Received(cost int64, now time.Time) (kept bool) {
+	GinkgoHelper()
+	retry(func() (wait <-chan struct{}) {
+		kept, wait = c.Connection.Received(cost, now)
+		return wait
+	})
+	return kept
+}
+
+func (c *caller) Whole(now time.Time) (kept bool) {
+	GinkgoHelper()
+	retry(func() (wait <-chan struct{}) {
+		kept, wait = c.Connection.Whole(now)
+		return wait
+	})
+	return kept
+}
+
 var _ = Describe("a budget of connections", func() {
 	// Guards against a process that runs out of memory, or turns ordinary callers away, while
 	// others send headers that they never end.
@@ -133,4 +168,27 @@
 		Expect(c.Received(4*36*kb+192*9*kb, start)).To(BeTrue())
 		Expect(c.Whole(start)).To(BeTrue())
 	})
+
+	// Guards against memory that is given out again while the goroutine that has it still runs.
+	It("counts the memory of a connection that was given up until it is closed", func() {
+		b := connbudget.New(64*kb, 10)
+		end := func(time.Duration) {} // later
+		first, _ := b.Open(start, end)
+		kept, wait := first.Received(40*kb, start)
+		Expect(kept).To(BeTrue())
+		Expect(wait).To(BeNil())
+		second, wait := b.Open(start, end)
+		Expect(second).To(BeNil())
+		Expect(wait).NotTo(BeClosed())
+		Expect(b.Usage().Evicted).To(Equal(int64(1)))
+		Expect(b.Usage().Memory).To(Equal(int64(56 * kb)))
+		kept, _ = first.Received(1, start)
+		Expect(kept).To(BeFalse())
+		first.Close()
+		Expect(wait).To(BeClosed())
+		second, wait = b.Open(start, end)
+		Expect(second).NotTo(BeNil())
+		Expect(wait).To(BeNil())
+		Expect(b.Usage().Memory).To(Equal(int64(16 * kb)))
+	})
 })
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -30,6 +30,10 @@
 	// unread or is not read by the caller counts towards the memory of the VM. A body of 4 MB
 	// over a round trip of 3 ms takes 0.2 s with it.
 	socketBytes = 64 << 10
+	// roomTimeout is the longest time for which a connection waits until connections that were
+	// given up for it have ended. They do at once; after an early answer, net/http keeps one for
+	// half a second.
+	roomTimeout = time.Second
 	// reportInterval is the minimum time between two log lines about closed connections.
 	reportInterval = time.Second
 )
@@ -96,7 +100,13 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		handler.ServeHTTP(w, c.awaitBody(r))
+		guarded, cancel := c.awaitBody(r)
+		defer cancel()
+		handler.ServeHTTP(w, guarded)
+		if c.member.Answered(g.clock.Now()) {
+			// net/http keeps the request while it waits for the caller to read the answer.
+			r.Header, r.Trailer = nil, nil
+		}
 		if c.givenUp.Load() {
 			// After an early answer, net/http keeps a connection and its request for half a
 			// second, so that the caller can read the answer. This one is closed.
@@ -151,6 +161,57 @@
 		"open", u.Open, "limit", u.Limit, "sending", u.Sending, "memory", u.Memory, "memory_limit", u.MemoryLimit)
 }
 
+// await calls account until there is room. It returns false if none was made in time.
+func (g *Guard) await(account func() (wait <-chan struct{})) bool {
+	wait := account()
+	if wait == nil {
+		return true
+	}
+	timeout := g.clock.NewTimer(roomTimeout)
+	defer timeout.Stop()
+	for ; wait != nil; wait = account() {
+		select {
+		case <-wait:
+		case <-timeout.Chan():
+			return false
+		}
+	}
+	return true
+}
+
+// open accounts for a new connection; nil if there is no room.
+func (g *Guard) open(c *guardedConn) (member *connbudget.Connection) {
+	inTime := g.await(func() (wait <-chan struct{}) {
+		member, wait = g.budget.Open(g.clock.Now(), c.evict)
+		return wait
+	})
+	if !inTime {
+		g.budget.Refuse()
+		return nil
+	}
+	return member
+}
+
+// keep accounts for a part of a request, or a whole one. It returns false if the connection
+// has been given up.
+func (c *guardedConn) keep(account func(now time.Time) (kept bool, wait <-chan struct{})) (kept bool) {
+	g := c.guard
+	inTime := g.await(func() (wait <-chan struct{}) {
+		kept, wait = account(g.clock.Now())
+		return wait
+	})
+	if !inTime {
+		c.member.GiveUp(g.clock.Now())
+		return false
+	}
+	return kept
+}
+
+// received accounts for a part of a request.
+func (c *guardedConn) received(cost int) bool {
+	return c.keep(func(now time.Time) (bool, <-chan struct{}) { return c.member.Received(int64(cost), now) })
+}
+
 type guardedListener struct {
 	net.Listener
 	guard *Guard
@@ -167,8 +228,7 @@
 		limitSocket(conn)
 		c := &guardedConn{Conn: conn, guard: l.guard}
 		c.inHead.Store(true)
-		c.member = l.guard.budget.Open(l.guard.clock.Now(), c.evict)
-		if c.member != nil {
+		if c.member = l.guard.open(c); c.member != nil {
 			return l.wrap(c), nil
 		}
 		l.guard.report("connection refused, all others serve requests", conn.RemoteAddr(), 0)
@@ -208,6 +268,8 @@
 	inHead atomic.Bool
 	// givenUp is set once the connection has been closed for others.
 	givenUp atomic.Bool
+	// cancel ends the request whose body arrives; nil if none does.
+	cancel atomic.Pointer[context.CancelFunc]
 }
 
 // errEvicted is the error of a connection that has been given up. net/http answers nothing on
@@ -219,7 +281,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.inHead.Load() {
 		cost := headByteCost*n + headLineCost*bytes.Count(p[:n], []byte{'\n'})
-		if !c.member.Received(int64(cost), c.guard.clock.Now()) {
+		if !c.received(cost) {
 			return 0, errEvicted
 		}
 	}
@@ -240,10 +302,13 @@
 	c.guard.report("connection without a whole request closed for others", c.RemoteAddr(), age)
 	c.givenUp.Store(true)
 	_ = c.Conn.Close()
+	if cancel := c.cancel.Swap(nil); cancel != nil {
+		(*cancel)()
+	}
 }
 
 // whole tells that the request has arrived. It returns false if it must not be passed on.
-func (c *guardedConn) whole() bool { return c.member.Whole(c.guard.clock.Now()) }
+func (c *guardedConn) whole() bool { return c.keep(c.member.Whole) }
 
 // rest tells that the request has ended.
 func (c *guardedConn) rest() {
@@ -254,20 +319,23 @@
 type guardKey struct{}
 
 // awaitBody accounts for the end of the header and, with the body of r, for that of the
-// request. It returns the request to serve, and ends it if its connection has been given up.
-// The body of r stays as it is: its type tells net/http whether to read it before an answer.
-func (c *guardedConn) awaitBody(r *http.Request) *http.Request {
+// request. It returns the request to serve, and ends it if its connection has been given up. Call
+// cancel when it has been served. The body of r stays as it is: its type tells net/http whether to
+// read it before an answer.
+func (c *guardedConn) awaitBody(r *http.Request) (_ *http.Request, cancel context.CancelFunc) {
 	c.inHead.Store(false)
 	if r.Body != nil && r.Body != http.NoBody {
+		ctx, cancel := context.WithCancel(r.Context())
+		c.cancel.Store(&cancel)
 		body := &guardedBody{ReadCloser: r.Body, conn: c}
-		r = r.WithContext(r.Context())
+		r = r.WithContext(ctx)
 		r.Body = body
-		return r
+		return r, cancel
 	}
 	if !c.whole() {
 		panic(http.ErrAbortHandler)
 	}
-	return r
+	return r, func() {}
 }
 
 // guardedBody is the body of a request; its end makes the request whole.
@@ -291,7 +359,7 @@
 // Read implements net.Conn.
 func (c messageConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.member.Received(messageByteCost*int64(n), c.guard.clock.Now()) {
+	if n > 0 && !c.received(messageByteCost*n) {
 		return 0, errEvicted
 	}
 	return n, err
