Let the connection of a refused request make room for new ones

Gateways and controllers closed each new connection, for as long as others whose requests had been refused stayed and held all memory for connections.

Change: it counts as sending, since when it did. Tests: "gives up the connection of a refused request ..." is new; without the change it gives up the new connection.

--- a/internal/connbudget/connbudget.go
+++ b/internal/connbudget/connbudget.go
@@ -200,8 +200,8 @@
 }
 
 // Answered tells that the handler of a request has returned. It returns true if the request is
-// not whole: no more of it is accounted for, and its header must be released.
-func (c *Connection) Answered(now time.Time) bool {
+// not whole: its header no longer counts, and must be released. The connection counts as sending.
+func (c *Connection) Answered() bool {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -210,7 +210,6 @@
 	}
 	b.release(c.held - connectionBytes)
 	c.held = connectionBytes
-	b.enter(c, idle, now)
 	return true
 }
 
--- a/internal/connbudget/connbudget_test.go
+++ b/internal/connbudget/connbudget_test.go
@@ -191,4 +191,17 @@
 		Expect(wait).To(BeNil())
 		Expect(b.Usage().Memory).To(Equal(int64(16 * kb)))
 	})
+
+	// Guards against callers of refused requests who stay, and keep new ones out.
+	It("gives up the connection of a refused request, of which more is to come, before a new one", func() {
+		b := connbudget.New(40*kb, 10)
+		refused, other := open(b, start), open(b, start)
+		Expect(refused.Received(kb, start)).To(BeTrue())
+		Expect(refused.Answered()).To(BeTrue())
+		Expect(b.Usage().Memory).To(Equal(int64(32 * kb)))
+		other.Close()
+		ordinary := open(b, start.Add(time.Second))
+		Expect(ordinary.Received(ordinaryHead, start.Add(time.Second))).To(BeTrue())
+		Expect(refused.evictions).To(Equal(1))
+	})
 })
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -103,7 +103,7 @@
 		guarded, cancel := c.awaitBody(r)
 		defer cancel()
 		handler.ServeHTTP(w, guarded)
-		if c.member.Answered(g.clock.Now()) {
+		if c.member.Answered() {
 			// net/http keeps the request while it waits for the caller to read the answer.
 			r.Header, r.Trailer = nil, nil
 		}
