Give up stalled bodies when the memory for bodies is used up

Ordinary requests with bodies were refused for as long as others did not end theirs, an hour at most.

Cause: the memory for bodies was given to whoever came first, and only a body's own time limit took it back. Class: a limit for all that those who hold on longest keep for themselves. Change: package bodymemory gives up bodies that have stalled for 0.5 s, or have been arriving for 3 s, when others need their memory; else new bodies are refused at once, so that those that arrive can end. A single body in calm has its caller's time, as before.

--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -14,7 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"fireflypier.example/fireflypier/internal/failure"
-	"fireflypier.example/fireflypier/internal/serving/buffermemory"
+	"fireflypier.example/fireflypier/internal/serving/bodymemory"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/logwriter"
 	"fireflypier.example/fireflypier/internal/serving/machine"
@@ -95,7 +95,7 @@
 func front(cfg *machine.Settings, logger hclog.Logger) func(exchange.Handler, func() int64) http.Handler {
 	opts := []platform.FrontOption{platform.WithLogger(logger)}
 	if cfg.MemoryBytes > 0 {
-		opts = append(opts, platform.WithBodyMemory(buffermemory.New(int64(bodyMemoryShare*float64(cfg.MemoryBytes)))))
+		opts = append(opts, platform.WithBodyMemory(bodymemory.New(int64(bodyMemoryShare*float64(cfg.MemoryBytes)))))
 	}
 	return func(serve exchange.Handler, bodyLimit func() int64) http.Handler {
 		return platform.Front(serve, bodyLimit, opts...)
