Give up idle connections before the only one that sends

New callers were closed at their first bytes while the memory for connections was held by others that had sent one request each and stayed.

Cause: connections that send are given up before idle ones, and the new one was the only one to send. Change: idle ones are given up first if no other connection is sending. Test: "gives up idle connections before a new one that is the only one to send" failed before.

--- a/internal/connbudget/connbudget.go
+++ b/internal/connbudget/connbudget.go
@@ -241,7 +241,7 @@
 		if b.memory.Used()-b.ending+n <= b.memory.Limit() {
 			return victims, false, b.changed
 		}
-		v := b.giveUpOne()
+		v := b.giveUpOneFor(c)
 		if v == nil {
 			return victims, true, nil
 		}
@@ -265,6 +265,16 @@
 	b.changed = make(chan struct{})
 }
 
+// giveUpOneFor is giveUpOne, but gives up an idle connection before c if no other one is sending.
+func (b *Budget) giveUpOneFor(c *Connection) *Connection {
+	if first := b.waiting[sending].Front(); first != nil && first == c.place && b.waiting[sending].Len() == 1 {
+		if v := b.giveUpFirst(idle); v != nil {
+			return v
+		}
+	}
+	return b.giveUpOne()
+}
+
 // giveUpOne gives up the connection that has been sending longest without a whole request, or
 // else the one that has been idle longest; nil if there is none.
 func (b *Budget) giveUpOne() *Connection {
--- a/internal/connbudget/connbudget_test.go
+++ b/internal/connbudget/connbudget_test.go
@@ -204,4 +204,15 @@
 		Expect(ordinary.Received(ordinaryHead, start.Add(time.Second))).To(BeTrue())
 		Expect(refused.evictions).To(Equal(1))
 	})
+
+	// Guards against callers who stay after one request, and keep new ones out.
+	It("gives up idle connections before a new one that is the only one to send", func() {
+		b := connbudget.New(40*kb, 10)
+		stays := open(b, start)
+		Expect(stays.Whole(start)).To(BeTrue())
+		stays.Rest(start)
+		ordinary := open(b, start.Add(time.Second))
+		Expect(ordinary.Received(ordinaryHead, start.Add(time.Second))).To(BeTrue())
+		Expect(stays.evictions).To(Equal(1))
+	})
 })
