Cancel a request whose connection was given up before its header was decoded

Cause: the request was given its cancel function after the connection could be given up. Change: it is canceled if the connection has been given up by then. Measured: internal/listener with the race detector passes; the gap was read, not seen.

--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -327,6 +327,9 @@
 	if r.Body != nil && r.Body != http.NoBody {
 		ctx, cancel := context.WithCancel(r.Context())
 		c.cancel.Store(&cancel)
+		if c.givenUp.Load() {
+			cancel()
+		}
 		body := &guardedBody{ReadCloser: r.Body, conn: c}
 		r = r.WithContext(ctx)
 		r.Body = body
