Write no request while the reader of its connection has unread bytes

Callers of an engine that sends an answer twice lost the next request on the connection, and a report could be an older one: the request was written after the copy had been read, and got it as its answer.

Cause: before the first byte of a further request the connection asks the kernel whether something has arrived. Two answers in one segment are read at once, and net/http puts the connection into its pool before it looks at what it has read beyond the first one. Class: a question put to one of two buffers. Change: the first byte waits until the reader is in a Read, which net/http begins only once it has used up what it had. A rest makes it close the connection, or counts as an answer before the request; both seal it.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -348,13 +348,14 @@
 // conn is a connection that counts its requests and the bytes written to it.
 //
 // http.Transport puts a connection back into its pool before the answer to its last request
-// is checked, if that has no body. The next request is not written until the answer is
-// accepted.
+// is checked, if that has no body, and before it looks at bytes that it has read along with
+// that answer. The next request is not written until the answer is accepted, and a further
+// Read shows that no such bytes are left.
 type conn struct {
 	*lingering.Conn
 
 	mu sync.Mutex
-	// decided is signaled when an answer is accepted, or the connection is sealed.
+	// decided is signaled when an answer is accepted, a Read begins, or the connection is sealed.
 	decided *sync.Cond
 	// requests counts the requests, accepted is the number of the last one whose answer was
 	// accepted.
@@ -362,6 +363,8 @@
 	// written counts the bytes written, begun those before the last request.
 	written, begun int64
 	sealed         bool
+	// reading is set during a Read.
+	reading bool
 	// guard is that of the last request until its first byte is written, nil if there is none.
 	guard func() bool
 	// lingers is set if the connection is to linger when it is closed during the last request.
@@ -386,9 +389,14 @@
 // Read implements net.Conn. It seals the connection if bytes arrive before the first byte of
 // a request is written.
 func (c *conn) Read(data []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.decided.Broadcast()
+	c.mu.Unlock()
 	n, err := c.Conn.Read(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	if n > 0 && c.awaitsFirstByte() {
 		c.sealed = true
 		return 0, net.ErrClosed
@@ -398,10 +406,11 @@
 
 // Write implements net.Conn. It counts the bytes before it passes them to the kernel, and
 // takes back those that the kernel has not taken. It seals the connection if something has
-// arrived before the first byte of a request.
+// arrived before the first byte of a request. Before that byte it waits until the reader has
+// used up what it had read, or the connection is sealed.
 func (c *conn) Write(data []byte) (int, error) {
 	c.mu.Lock()
-	for !c.sealed && c.accepted < c.requests-1 {
+	for !c.sealed && (c.accepted < c.requests-1 || c.awaitsFirstByte() && !c.reading) {
 		c.decided.Wait()
 	}
 	if c.awaitsFirstByte() && c.arrived() {
