--- a/tests/flood/bodies_test.go
+++ b/tests/flood/bodies_test.go
@@ -85,15 +85,19 @@
 	return list
 }
 
-// together returns table entries for crowds that send in all ways at once, beside long headers
-// and requests whose answers are not read.
-func together(ways map[string]caller) []TableEntry {
-	all := slices.Collect(maps.Values(ways))
+// everyWay returns a caller that sends bodies in all ways, long headers, or requests whose
+// answers are not read, in turn.
+func everyWay(head string) caller {
+	all := slices.Collect(maps.Values(bodies(head)))
 	all = append(all, slices.Collect(maps.Values(longHeadBodies))...)
-	all = append(all, sends("GET / HTTP/1.1\r\nHost: h\r\n"+shortLines()), sends(getRequest))
+	return inTurn(append(all, sends("GET / HTTP/1.1\r\nHost: h\r\n"+shortLines()), sends(getRequest))...)
+}
+
+// together returns table entries for crowds that send in all ways at once.
+func together(head string) []TableEntry {
 	return []TableEntry{
-		Entry("all of these, long headers, and requests whose answers are not read", inTurn(all...)),
-		Entry("all of these, and return", returns(inTurn(all...))),
+		Entry("all of these, long headers, and requests whose answers are not read", everyWay(head)),
+		Entry("all of these, and return", returns(everyWay(head))),
 	}
 }
 
@@ -132,7 +136,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(busy.Kill)
 	}
-	return startNodeBy(maxDescriptors, on)
+	return startNodeBy(maxDescriptors, memoryMB, on)
 }
 
 // longHeadBodies are callers whose requests have long headers and a part of a body.
@@ -149,13 +153,13 @@
 		p := startNode(maxDescriptors)
 		p.bodies = posts(p.ports[0])
 		p.withstands(p.ports[0], send)
-	}, entries(bodies(patientHead)), together(bodies(patientHead)))
+	}, entries(bodies(patientHead)), together(patientHead))
 
 	DescribeTable("with little processor time withstands bodies without bounds:", func(send caller) {
 		p := startSlowNode()
 		p.bodies = posts(p.ports[0])
 		p.withstands(p.ports[0], send)
-	}, entries(bodies(patientHead)), entries(longHeadBodies), together(bodies(patientHead)))
+	}, entries(bodies(patientHead)), entries(longHeadBodies), together(patientHead))
 })
 
 // Guards the processes of the own interface against the same, from callers without a key.
--- a/tests/flood/fleet_test.go
+++ b/tests/flood/fleet_test.go
@@ -49,7 +49,7 @@
 		gets(n.Addr, path, status),
 		gets(n.Admin, "/healthz", http.StatusOK),
 		{addr: n.Peer},
-	}, maxDescriptors, port{}}
+	}, maxDescriptors, memoryMB, port{}}
 }
 
 // Guards the processes of the own interface against the same as a node.
--- a/tests/flood/flood_test.go
+++ b/tests/flood/flood_test.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -211,6 +212,8 @@
 	*fleet.Process
 	ports       []port
 	descriptors int
+	// memory is the memory of its VM in MB.
+	memory int
 	// bodies is the first port with an ordinary request that has a body. It is only asked in the
 	// specs of bodies.
 	bodies port
@@ -229,19 +232,37 @@
 
 // withstands checks a process before, beside and after a crowd at one of its ports.
 func (p *process) withstands(at port, send caller) {
+	GinkgoHelper()
+	p.withstandsAll([]port{at}, send)
+}
+
+// withstandsAll checks a process before, beside and after crowds at some of its ports at once.
+// The n-th port has a crowd that sends by the n-th caller.
+func (p *process) withstandsAll(at []port, send ...caller) {
 	GinkgoHelper()
 	answers(p.ports...)
 	answers(p.bodies)
-	c := newCrowd(at.addr, send)
-	defer c.leave()
+	crowds := make([]*crowd, len(at))
+	var wg sync.WaitGroup
+	for i := range at {
+		wg.Go(func() { crowds[i] = newCrowd(at[i].addr, send[i]) })
+	}
+	wg.Wait()
+	leave := func() {
+		for _, c := range crowds {
+			c.leave()
+		}
+	}
+	defer leave()
 	p.lives()
-	answers(at, p.ports[0], p.bodies)
-	c.leave()
-	answers(at, p.ports[0], p.bodies)
+	ordinary := append(slices.Clone(at), p.ports[0], p.bodies)
+	answers(ordinary...)
+	leave()
+	answers(ordinary...)
 	p.lives()
 	peak := p.status("VmHWM:")
 	AddReportEntry("peak memory in MB", float64(peak)/(1<<20))
-	Expect(peak).To(BeNumerically("<=", memoryMB<<20), "the process takes more memory than its VM has")
+	Expect(peak).To(BeNumerically("<=", p.memory<<20), "the process takes more memory than its VM has")
 }
 
 func (p *process) lives() {
--- a/tests/flood/node_test.go
+++ b/tests/flood/node_test.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	policyRow = `{"version":1,"routes":[{"name":"r","hostname":"h.example","prefix":"/x/","type":"safe","timeout_ms":3000,
-		"target_latency_ms":1000,"service":"s","max_attempts":2}],"services":[{"name":"s","max_conns":90}],
+	policyRow = `{"version":1,"routes":[
+		{"name":"r","hostname":"h.example","prefix":"/x/","type":"safe","timeout_ms":3000,"target_latency_ms":1000,"service":"s","max_attempts":2},
+		{"name":"gone","hostname":"h.example","prefix":"/gone/","type":"safe","timeout_ms":3000,"target_latency_ms":1000,"service":"gone","max_attempts":2},
+		{"name":"silent","hostname":"h.example","prefix":"/silent/","type":"safe","timeout_ms":3000,"target_latency_ms":1000,"service":"silent","max_attempts":2}],
+		"services":[{"name":"s","max_conns":90},{"name":"gone","max_conns":90},{"name":"silent","max_conns":90}],
 		"limits":{"max_body_bytes":4194304},"tenants":[{"name":"c","api_keys":["key"]}]}`
 	// answerBytes is the size of the target's answers, above that of ordinary ones (4 KB).
 	answerBytes = 64 << 10
@@ -50,13 +53,16 @@
 	_ = json.MarshalWrite(w, &page)
 }
 
-// newStore starts a stand-in for the platform's store with one route to one target.
-func newStore(target netip.AddrPort) netip.AddrPort {
+// newStore starts a stand-in for the platform's store with a route to each of three services:
+// one that answers, one at whose address nothing listens, and one that never answers.
+func newStore() netip.AddrPort {
 	mux := http.NewServeMux()
+	row := func(service string, addr netip.AddrPort) []byte {
+		return fmt.Appendf(nil, `{"service":"%s","address":"%s","zone":"a","version":"v1","slots":60,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, service, addr)
+	}
 	tables := map[string]map[string][]byte{
-		"op": {"config": []byte(policyRow)},
-		"servers": {"i-1": fmt.Appendf(nil, `{"service":"s","address":"%s","zone":"a","version":"v1","slots":60,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`,
-			target)},
+		"op":      {"config": []byte(policyRow)},
+		"servers": {"i-1": row("s", newTarget()), "i-2": row("gone", fleet.FreeAddr()), "i-3": row("silent", newSilentTarget())},
 	}
 	mux.HandleFunc("GET /rows-get", func(w http.ResponseWriter, r *http.Request) { answered(w, tables[r.URL.Query().Get("table")]) })
 	mux.HandleFunc("GET /rows-feed", func(w http.ResponseWriter, r *http.Request) {
@@ -89,13 +95,22 @@
 	}))
 }
 
+// newSilentTarget starts a stand-in that reads requests and never answers them.
+func newSilentTarget() netip.AddrPort {
+	return serve(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+}
+
 var requests atomic.Int64
 
 // startNode starts a node whose limit of open files is descriptors.
-func startNode(descriptors int) *process { return startNodeBy(descriptors, "") }
+func startNode(descriptors int) *process { return startNodeBy(descriptors, memoryMB, "") }
 
-// startNodeBy starts such a node by a command that runs the one that follows it.
-func startNodeBy(descriptors int, by string) *process {
+// startNodeBy starts such a node with a memory limit by a command that runs the one that
+// follows it.
+func startNodeBy(descriptors, memory int, by string) *process {
 	addrs := make([]netip.AddrPort, 5)
 	for i := range addrs {
 		addrs[i] = fleet.FreeAddr()
@@ -115,7 +130,7 @@
 limits: {memory_mb: %d, max_fds: %d}
 bounds: {grace_s: 4, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 50, quota_window_s: 8, quota_overage: 0.1, quota_slack: 110000, lease_ms: 3000, ttl_max_s: 5}
 platform: {address: "%s"}
-`, front, ready, directory, peer.Port(), admin.Port(), memoryMB, descriptors, newStore(newTarget())), 0o600)).To(Succeed())
+`, front, ready, directory, peer.Port(), admin.Port(), memory, descriptors, newStore()), 0o600)).To(Succeed())
 	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s %s node", descriptors, by, programs.Fireflypier))
 	cmd.Env = append(os.Environ(), "FIREFLYPIER_CONFIG="+file)
 	started, err := fleet.Start(dir, "node", cmd)
@@ -139,7 +154,7 @@
 		gets(directory, "/resolve?zone=a", http.StatusOK),
 		gets(admin, "/healthz", http.StatusOK),
 		{addr: peer},
-	}, descriptors, port{}}
+	}, descriptors, memory, port{}}
 }
 
 // Guards against a process that ends for want of memory, that hangs or that turns ordinary
