Count the memory of a body until the garbage collector has freed it

Callers who send large bodies that end at once (for no service, or one that is gone) brought a node to 102 MB of 80.

Cause: a body that ended released its memory in the budget, and the next one took it, while the buffers were still garbage. In one collection many times the budget was allocated: in the runtime's trace the heap went from a goal of 29 MB to 58. Change: the budget counts each buffer until the collector has freed it, and starts a collection when garbage takes half of the limit or keeps a body out. Budget.Reserve becomes Allocate, which returns the buffer.

--- a/internal/serving/bodymemory/bodymemory.go
+++ b/internal/serving/bodymemory/bodymemory.go
@@ -3,15 +3,16 @@
 // go on without one, must not keep the memory from those who end theirs; and of more ordinary
 // callers than there is memory for, those who have begun must be able to end. So a body is given up
 // for others once it has stalled, or takes much longer than ordinary ones, and a new one is
-// refused if there is none such. Bodies that have arrived stay. The package does no I/O.
+// refused if there is none such. Bodies that have arrived stay. Memory that bodies have released
+// counts until the garbage collector has freed it: bodies that end at once would otherwise fill
+// the process while the budget is never used up. The package does no I/O.
 package bodymemory
 
 import (
 	"container/list"
+	"runtime"
 	"sync"
 	"time"
-
-	"fireflypier.example/fireflypier/internal/serving/buffermemory"
 )
 
 const (
@@ -20,26 +21,55 @@
 	// arrivalTime is the time from its beginning after which a body may be given up that still
 	// arrives. It is the time that operators give callers for a request's header.
 	arrivalTime = 3 * time.Second
+	// garbageShare is the fraction of the limit that released memory may take before a
+	// collection of garbage is started.
+	garbageShare = 0.5
+	// minBuffer is the size of the smallest buffers. The runtime allocates smaller objects
+	// together, and does not free each by itself.
+	minBuffer = 16
 )
 
 // Budget is the memory for the bodies of all requests in progress. Its methods are safe for
 // concurrent use.
 type Budget struct {
-	memory *buffermemory.Budget
+	limit   int64
+	collect func()
+	track   func(buffer []byte, freed func())
 
 	mu sync.Mutex
 	// arriving has the bodies that have not arrived, in the order in which they began.
 	arriving *list.List
-	// ending is the memory of bodies that were given up and not released yet. changed is closed,
-	// and replaced, when memory is released or a body is given up.
-	ending  int64
-	changed chan struct{}
-	evicted int64
+	// used is the memory of all buffers that the collector has not freed, held that of bodies that
+	// have not released it, and ending the part of held whose bodies were given up.
+	used, held, ending int64
+	// changed is closed, and replaced, when memory is freed, or a body is given up or releases
+	// its memory.
+	changed    chan struct{}
+	collecting bool
+	evicted    int64
+}
+
+// Option configures a Budget.
+type Option func(*Budget)
+
+// WithCollector sets how garbage is collected. collect returns after a collection that began after
+// its call. track has freed called once a buffer is no longer in use; freed may be called from any
+// goroutine, and not by track itself. The default is the collector of the runtime.
+func WithCollector(collect func(), track func(buffer []byte, freed func())) Option {
+	return func(b *Budget) { b.collect, b.track = collect, track }
 }
 
 // New returns a budget of limit bytes.
-func New(limit int64) *Budget {
-	return &Budget{memory: buffermemory.New(limit), arriving: list.New(), changed: make(chan struct{})}
+func New(limit int64, opts ...Option) *Budget {
+	b := &Budget{limit: limit, collect: runtime.GC, track: trackGarbage, arriving: list.New(), changed: make(chan struct{})}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+func trackGarbage(buffer []byte, freed func()) {
+	runtime.AddCleanup(&buffer[:1][0], func(freed func()) { freed() }, freed)
 }
 
 // Body is the body of a request.
@@ -74,28 +104,36 @@
 	body.progressed = now
 }
 
-// Reserve reserves n bytes for a body. It returns false if the body has been given up, or if there
-// is no room. If room is about to be made, wait is not nil: call Reserve again when it is closed.
-func (body *Body) Reserve(n int64, now time.Time) (ok bool, wait <-chan struct{}) {
+// Allocate returns an empty buffer for n bytes of a body. It returns nil if the body
+// has been given up, or if there is no room. If room is about to be made, wait is not nil: call
+// Allocate again when it is closed.
+func (body *Body) Allocate(n int64, now time.Time) (buffer []byte, wait <-chan struct{}) {
+	n = max(n, minBuffer)
 	b := body.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	switch {
-	case body.evicted:
-		return false, nil
-	case b.memory.Reserve(n):
+	if body.evicted {
+		return nil, nil
+	}
+	if b.used+n <= b.limit {
+		b.used += n
+		b.held += n
 		body.held += n
-		return true, nil
+		buffer = make([]byte, 0, n)
+		b.track(buffer, func() { b.free(n) })
+		return buffer, nil
 	}
-	missing := b.memory.Used() - b.ending + n - b.memory.Limit()
-	victims, found := b.overdue(body, missing, now)
+	victims, found := b.overdue(body, b.held-b.ending+n-b.limit, now)
 	if !found {
-		return false, nil
+		return nil, nil
 	}
 	for _, v := range victims {
 		b.giveUp(v)
 	}
-	return false, b.changed
+	if b.used > b.held {
+		b.startCollection()
+	}
+	return nil, b.changed
 }
 
 // overdue returns bodies other than except that may be given up and hold as much as is missing,
@@ -112,17 +150,12 @@
 	return victims, missing <= 0
 }
 
-// ShrinkTo releases what a body holds above n bytes.
+// ShrinkTo releases what a body holds above n bytes: the buffers must no longer be in use.
 func (body *Body) ShrinkTo(n int64) {
 	b := body.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	extra := body.held - n
-	if body.evicted {
-		b.ending -= extra
-	}
-	body.held = n
-	b.release(extra)
+	b.release(body, body.held-n)
 }
 
 // Whole tells that a body has arrived. It returns false if it has been given up: its request must
@@ -141,11 +174,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	body.leave()
-	if body.evicted {
-		b.ending -= body.held
-	}
-	b.release(body.held)
-	body.held = 0
+	b.release(body, body.held)
 }
 
 func (body *Body) leave() {
@@ -164,11 +193,42 @@
 	b.tellChanged()
 }
 
-func (b *Budget) release(n int64) {
-	b.memory.Release(n)
+// release takes n bytes from what a body holds. They are garbage.
+func (b *Budget) release(body *Body, n int64) {
+	body.held -= n
+	b.held -= n
+	if body.evicted {
+		b.ending -= n
+	}
+	if float64(b.used-b.held) > garbageShare*float64(b.limit) {
+		b.startCollection()
+	}
+	b.tellChanged()
+}
+
+// free accounts for garbage of n bytes that has been collected.
+func (b *Budget) free(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
 	b.tellChanged()
 }
 
+// startCollection starts a collection of garbage unless one is in progress.
+func (b *Budget) startCollection() {
+	if b.collecting {
+		return
+	}
+	b.collecting = true
+	go func() {
+		b.collect()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.collecting = false
+		b.tellChanged() // memory released meanwhile takes another collection
+	}()
+}
+
 func (b *Budget) tellChanged() {
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -176,8 +236,9 @@
 
 // Usage is how much of a budget is used.
 type Usage struct {
-	// Memory and Limit are in bytes.
-	Memory, Limit int64
+	// Memory and Limit are in bytes. Memory is what bodies hold, Garbage what they have released
+	// and the collector has not freed.
+	Memory, Garbage, Limit int64
 	// Arriving is the number of bodies that have not arrived, Evicted that of those given up
 	// since the start.
 	Arriving, Evicted int64
@@ -187,5 +248,5 @@
 func (b *Budget) Usage() Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{b.memory.Used(), b.memory.Limit(), int64(b.arriving.Len()), b.evicted}
+	return Usage{b.held, max(0, b.used-b.held), b.limit, int64(b.arriving.Len()), b.evicted}
 }
