Divide the memory that is left beside the program

A node with a memory limit of 40 MB took 42 to 45 MB before three of four crowds.

Cause: the soft limit of the runtime and all budgets were parts of the whole limit. The resident pages of the program, 17 MB at rest and before each crowd, are in neither, so that little limits were exceeded by a constant. Change: package processmemory takes 18 MB off; the soft limit is four fifths of the rest (101 MB of 144, 108 before), the budgets keep their shares of it (a fifth of 126 MB instead of 144). Gateways and controllers do the same.

--- a/cmd/fireflypier/node.go
+++ b/cmd/fireflypier/node.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"fireflypier.example/fireflypier/internal/failure"
+	"fireflypier.example/fireflypier/internal/processmemory"
 	"fireflypier.example/fireflypier/internal/serving/bodymemory"
 	"fireflypier.example/fireflypier/internal/serving/exchange"
 	"fireflypier.example/fireflypier/internal/serving/logwriter"
@@ -28,17 +29,17 @@
 // because on the platform peak memory costs more than processor time.
 const gcPercent = 80
 
-// memoryLimitShare is the fraction of the process's memory limit that is used as the
+// softLimitShare is the fraction of a process's memory for the heap that is used as the
 // soft limit of the Go runtime. The platform kills the process above its limit.
-const memoryLimitShare = 0.75
+const softLimitShare = 0.8
 
-// limitMemory has the runtime keep the process below its memory limit in bytes, zero for none.
-func limitMemory(limit int64) {
+// limitMemory has the runtime keep the process below its memory limit.
+func limitMemory(limit processmemory.Limit) {
 	if limit <= 0 {
 		return
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(limit)))
+	debug.SetMemoryLimit(limit.Share(softLimitShare))
 }
 
 type nodeCommand struct{}
@@ -55,7 +56,7 @@
 	if err != nil {
 		return failure.Wrap(failure.InvalidObjects, err, "invalid settings")
 	}
-	limitMemory(cfg.MemoryBytes)
+	limitMemory(cfg.Memory)
 	logOutput := logwriter.NewWriter(os.Stdout, clockwork.NewRealClock())
 	defer func() { _ = logOutput.Close() }()
 	logger := hclog.New(&hclog.LoggerOptions{Name: cfg.Name, Level: hclog.Info, JSONFormat: true, Output: logOutput})
@@ -87,15 +88,15 @@
 	return n.Run(ctx)
 }
 
-// bodyMemoryShare is the fraction of the process's memory limit for the bodies of requests
-// in progress. While it is collected, garbage can take as much again.
+// bodyMemoryShare is the fraction of the process's memory for the heap that the bodies of
+// requests take, with what they leave until it is collected.
 const bodyMemoryShare = 0.2
 
 // front returns platform.Front with options for this VM.
 func front(cfg *machine.Settings, logger hclog.Logger) func(exchange.Handler, func() int64) http.Handler {
 	opts := []platform.FrontOption{platform.WithLogger(logger)}
-	if cfg.MemoryBytes > 0 {
-		opts = append(opts, platform.WithBodyMemory(bodymemory.New(int64(bodyMemoryShare*float64(cfg.MemoryBytes)))))
+	if cfg.Memory > 0 {
+		opts = append(opts, platform.WithBodyMemory(bodymemory.New(cfg.Memory.Share(bodyMemoryShare))))
 	}
 	return func(serve exchange.Handler, bodyLimit func() int64) http.Handler {
 		return platform.Front(serve, bodyLimit, opts...)
--- a/cmd/fireflypier/serve.go
+++ b/cmd/fireflypier/serve.go
@@ -12,6 +12,7 @@
 	"fireflypier.example/fireflypier/internal/controller"
 	"fireflypier.example/fireflypier/internal/failure"
 	"fireflypier.example/fireflypier/internal/gateway"
+	"fireflypier.example/fireflypier/internal/processmemory"
 	"fireflypier.example/fireflypier/internal/settings"
 	"fireflypier.example/fireflypier/platform"
 )
@@ -37,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	limitMemory(cfg.MemoryMB << 20)
+	limitMemory(processmemory.Limit(cfg.MemoryMB << 20))
 	g, err := gateway.New(cfg, gateway.WithLogger(newLogger(&cfg.Process)))
 	if err != nil {
 		return failure.Wrap(failure.Internal, err, "start gateway")
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	limitMemory(cfg.MemoryMB << 20)
+	limitMemory(processmemory.Limit(cfg.MemoryMB << 20))
 	ctl, err := controller.New(cfg, controller.WithLogger(newLogger(&cfg.Process)))
 	if err != nil {
 		return failure.Wrap(failure.Internal, err, "start controller")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -139,7 +139,7 @@
 
 func (c *Controller) listen() error {
 	var err error
-	callers, peers := listener.Guards(c.cfg.MemoryBytes(), 0, 0, listener.WithGuardClock(c.clock), listener.WithGuardLogger(c.logger))
+	callers, peers := listener.Guards(c.cfg.Memory(), 0, 0, listener.WithGuardClock(c.clock), listener.WithGuardLogger(c.logger))
 	c.registry.MustRegister(append(callers.Collectors(), peers.Collectors()...)...)
 	c.peers, err = peer.Listen(c.cfg.PeerListen, c.logger, peer.WithGuard(peers))
 	if err != nil {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -14,7 +14,7 @@
 	"fireflypier.example/fireflypier/internal/serving/buffermemory"
 )
 
-// bodyMemoryShare is the fraction of the process's memory for the bodies of requests in
+// bodyMemoryShare is the fraction of the process's memory for the heap that is for the bodies of requests in
 // progress.
 const bodyMemoryShare = 0.2
 
@@ -24,7 +24,7 @@
 	g.adoption.OnChange(g.limiter.SetCatalog)
 	budget := retry.NewBudget(g.clock)
 	cfg := &g.cfg.Requests
-	bodies := buffermemory.New(int64(bodyMemoryShare * float64(g.cfg.MemoryBytes())))
+	bodies := buffermemory.New(g.cfg.Memory().Share(bodyMemoryShare))
 	plainRoutes := plainroute.New(plainroute.Config{
 		Clock: g.clock, Logger: g.logger, Authenticator: authenticator, Limiter: g.limiter,
 		Claims: g.claims, Budget: budget, Ejection: g.ejected, Leaving: g.views.Leaving,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,7 @@
 	if g.cfg.MaxConnections > 0 {
 		maxCallers = 0 // the listener refuses connections above the limit with an answer
 	}
-	callers, peers := listener.Guards(g.cfg.MemoryBytes(), 0, maxCallers, listener.WithGuardClock(g.clock), listener.WithGuardLogger(g.logger))
+	callers, peers := listener.Guards(g.cfg.Memory(), 0, maxCallers, listener.WithGuardClock(g.clock), listener.WithGuardLogger(g.logger))
 	registry.MustRegister(append(callers.Collectors(), peers.Collectors()...)...)
 	g.peers, err = peer.Listen(g.cfg.PeerListen, g.logger, peer.WithGuard(peers))
 	if err != nil {
--- a/internal/listener/guards.go
+++ b/internal/listener/guards.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"golang.org/x/sys/unix"
+
+	"fireflypier.example/fireflypier/internal/processmemory"
 )
 
 const (
@@ -16,23 +18,23 @@
 )
 
 const (
-	// callerMemoryShare is the fraction of a process's memory for connections of callers with
-	// their request headers, peerMemoryShare that for connections of the system's other
-	// processes. Garbage can take as much again.
+	// callerMemoryShare is the fraction of a process's memory for the heap that connections of
+	// callers take with their request headers, peerMemoryShare that of connections of the system's
+	// other processes. Garbage can take as much again.
 	callerMemoryShare = 0.2
 	peerMemoryShare   = 0.1
 )
 
 // Guards returns the guards of the connections of callers and of the system's other processes,
-// for a process with the given memory and number of descriptors (zero: its resource limit).
+// for a process with a memory limit and a number of descriptors (zero: its resource limit).
 // maxCallers limits the connections of callers further, unless it is zero.
-func Guards(memory, maxDescriptors int64, maxCallers int, opts ...GuardOption) (callers, peers *Guard) {
+func Guards(memory processmemory.Limit, maxDescriptors int64, maxCallers int, opts ...GuardOption) (callers, peers *Guard) {
 	callerLimit, peerLimit := connectionLimits(maxDescriptors)
 	if maxCallers > 0 {
 		callerLimit = min(callerLimit, maxCallers)
 	}
-	return NewGuard("callers", int64(callerMemoryShare*float64(memory)), callerLimit, opts...),
-		NewGuard("peers", int64(peerMemoryShare*float64(memory)), peerLimit, opts...)
+	return NewGuard("callers", memory.Share(callerMemoryShare), callerLimit, opts...),
+		NewGuard("peers", memory.Share(peerMemoryShare), peerLimit, opts...)
 }
 
 // connectionLimits returns the number of connections of callers and of the system's other
--- a/internal/serving/machine/machine.go
+++ b/internal/serving/machine/machine.go
@@ -4,6 +4,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"fireflypier.example/fireflypier/internal/processmemory"
 )
 
 // Settings are the settings that a process reads from the platform at startup.
@@ -28,8 +30,8 @@
 	// Capacity is the VM's processor time, in thousandths of a core; zero if the
 	// settings do not tell.
 	Capacity int64
-	// MemoryBytes is the memory limit of the process.
-	MemoryBytes int64
+	// Memory is the memory limit of the process.
+	Memory processmemory.Limit
 	// Descriptors is the number of files that the process may open, zero if the settings do
 	// not tell.
 	Descriptors int64
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -55,7 +55,7 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is twice the usual limit set by operators.
 	maxHeaderBytes = 32 << 10
-	// answerMemoryShare is the fraction of the process's memory for answers that are buffered.
+	// answerMemoryShare is the fraction of the process's memory for the heap that buffered answers take.
 	// With those for bodies and connections, it stays below the soft limit of the runtime.
 	answerMemoryShare = 0.15
 	// answerTTL is the maximum time for which callers cache a directory answer; the
@@ -248,7 +248,7 @@
 		Retries:     retrybudget.New(retryBound(&s.Bounds)),
 		VMs:         func() int { return 1 + n.mesh.Size() },
 		Metrics:     forward.NewMetrics(n.registry, n.view, n.clock),
-		Buffered:    int64(answerMemoryShare * float64(s.MemoryBytes)),
+		Buffered:    s.Memory.Share(answerMemoryShare),
 		Clock:       n.clock,
 		Logger:      config.Logger,
 	})
@@ -270,10 +270,10 @@
 // has none.
 func (n *Node) newGuards() ([]peer.ServerOption, error) {
 	s := n.Settings
-	if s.MemoryBytes <= 0 {
+	if s.Memory <= 0 {
 		return nil, nil
 	}
-	callers, peers := listener.Guards(s.MemoryBytes, s.Descriptors, 0, listener.WithGuardLogger(n.Logger), listener.WithGuardClock(n.clock))
+	callers, peers := listener.Guards(s.Memory, s.Descriptors, 0, listener.WithGuardLogger(n.Logger), listener.WithGuardClock(n.clock))
 	n.callers = callers
 	for _, c := range append(callers.Collectors(), peers.Collectors()...) {
 		if err := n.registry.Register(c); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"fireflypier.example/fireflypier/internal/document"
+	"fireflypier.example/fireflypier/internal/processmemory"
 )
 
 // Process holds the settings that gateways and controllers share.
@@ -75,9 +76,10 @@
 	Requests Requests `json:"requests,omitzero"`
 }
 
-// MemoryBytes returns the memory limit of the process in bytes; a default if the settings
-// have none.
-func (s *Process) MemoryBytes() int64 { return cmp.Or(s.MemoryMB, defaultMemoryMB) << 20 }
+// Memory returns the memory limit of the process; a default if the settings have none.
+func (s *Process) Memory() processmemory.Limit {
+	return processmemory.Limit(cmp.Or(s.MemoryMB, defaultMemoryMB) << 20)
+}
 
 // Controller holds the settings of a controller.
 type Controller struct {
