bodymemory: allocate outside the lock

Found by reading. The accounting stays under the lock; the buffer is made after it. Two comments are shorter.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -14,8 +14,8 @@
 	"fireflypier.example/fireflypier/internal/serving/buffermemory"
 )
 
-// bodyMemoryShare is the fraction of the process's memory for the heap that is for the bodies of requests in
-// progress.
+// bodyMemoryShare is the fraction of the process's memory for the heap that the bodies of
+// requests in progress take.
 const bodyMemoryShare = 0.2
 
 // newCallerAPI creates the caller API and its dependencies.
--- a/internal/serving/bodymemory/bodymemory.go
+++ b/internal/serving/bodymemory/bodymemory.go
@@ -110,22 +110,31 @@
 func (body *Body) Allocate(n int64, now time.Time) (buffer []byte, wait <-chan struct{}) {
 	n = max(n, minBuffer)
 	b := body.budget
+	ok, wait := b.reserve(body, n, now)
+	if !ok {
+		return nil, wait
+	}
+	buffer = make([]byte, 0, n)
+	b.track(buffer, func() { b.free(n) })
+	return buffer, nil
+}
+
+// reserve accounts for a buffer of n bytes.
+func (b *Budget) reserve(body *Body, n int64, now time.Time) (ok bool, wait <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if body.evicted {
-		return nil, nil
+		return false, nil
 	}
 	if b.used+n <= b.limit {
 		b.used += n
 		b.held += n
 		body.held += n
-		buffer = make([]byte, 0, n)
-		b.track(buffer, func() { b.free(n) })
-		return buffer, nil
+		return true, nil
 	}
 	victims, found := b.overdue(body, b.held-b.ending+n-b.limit, now)
 	if !found {
-		return nil, nil
+		return false, nil
 	}
 	for _, v := range victims {
 		b.giveUp(v)
@@ -133,7 +142,7 @@
 	if b.used > b.held {
 		b.startCollection()
 	}
-	return nil, b.changed
+	return false, b.changed
 }
 
 // overdue returns bodies other than except that may be given up and hold as much as is missing,
--- a/internal/serving/bodymemory/bodymemory_test.go
+++ b/internal/serving/bodymemory/bodymemory_test.go
@@ -172,13 +172,13 @@
 			Eventually(func() bool {
 				buffer, _ := body.Allocate(256<<10, start)
 				return buffer != nil
-			}).Should(BeTrue())
+			}, "30s").Should(BeTrue())
 			body.Release()
 		}
 		Eventually(func() int64 {
 			runtime.GC()
 			return b.Usage().Garbage
-		}).Should(BeZero())
+		}, "30s").Should(BeZero())
 	})
 
 	It("keeps a single slow body, however long it takes", func() {
--- a/internal/serving/node/node.go
+++ b/internal/serving/node/node.go
@@ -55,8 +55,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is twice the usual limit set by operators.
 	maxHeaderBytes = 32 << 10
-	// answerMemoryShare is the fraction of the process's memory for the heap that buffered answers take.
-	// With those for bodies and connections, it stays below the soft limit of the runtime.
+	// answerMemoryShare is the fraction of the process's memory for the heap that buffered
+	// answers take. With those for bodies and connections, it stays below the soft limit of the runtime.
 	answerMemoryShare = 0.15
 	// answerTTL is the maximum time for which callers cache a directory answer; the
 	// settings may shorten it.
